--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -39,20 +39,7 @@
     """Run a request here; returns the target's whole answer or a Refusal."""
     refusal = find_refusal(ports, head)
     if refusal is None:
-        try:
-            async with asyncio.timeout(
-                max(0.0, head.deadline - ports.clock())
-            ):
-                return await _run_in_place(ports, head, body)
-        except TimeoutError:
-            refusal = refuse(
-                requests.Code.DEADLINE,
-                'the deadline passed while the request waited',
-            )
-        except (errors.InboxFull, errors.TaskStopped) as error:
-            refusal = refuse(
-                requests.Code.OVERLOADED, str(error), retry_after_s=1.0
-            )
+        return await _run_in_place(ports, head, body)
     return dataclasses.replace(refusal, load=ports.scheduler.load)
 
 
@@ -74,28 +61,38 @@
     """Wait for a place, send, and give the place back."""
     outcome = Outcome()
     try:
-        admitted = await ports.scheduler.ask(gating.Admit(head))
-        if isinstance(admitted, requests.Refusal):
-            return admitted
-        outcome.admitted = True
-        refusal = find_refusal(ports, head)
+        refusal = await _take_place(ports, head)
+        if refusal is None:
+            # The keys may have been released while the request waited.
+            refusal = find_refusal(ports, head)
         if refusal is not None:
-            # The keys were released while the request waited.
-            return refusal
+            return dataclasses.replace(refusal, load=ports.scheduler.load)
         return await _send(ports, head, body, outcome)
-    except TimeoutError:
-        raise
     finally:
         ports.scheduler.give_back(
             gating.Finished(head.request_id, outcome.taken_s, outcome.shed)
         )
 
 
+async def _take_place(ports, head) -> requests.Refusal | None:
+    """Wait for a place at the target; returns why there is none, or None."""
+    try:
+        async with asyncio.timeout(max(0.0, head.deadline - ports.clock())):
+            reply = await ports.scheduler.ask(gating.Admit(head))
+    except TimeoutError:
+        return refuse(
+            requests.Code.DEADLINE,
+            'the deadline passed while the request waited',
+        )
+    except (errors.InboxFull, errors.TaskStopped) as error:
+        return refuse(requests.Code.OVERLOADED, str(error), retry_after_s=1.0)
+    return reply if isinstance(reply, requests.Refusal) else None
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """What is known of a request when its place is given back."""
 
-    admitted: bool = False
     taken_s: float | None = None
     shed: bool = False
 
--- a/sesamejunction/platform/front.py
+++ b/sesamejunction/platform/front.py
@@ -166,11 +166,7 @@
             organisation=organisation,
             deadline=now + limit_s - REPLY_MARGIN_S,
             repeatable=route.kind is routing.Kind.REPEATABLE,
-            headers=tuple(
-                (name, value)
-                for name, value in request.headers.items()
-                if name.lower() not in names.NOT_PASSED_ON
-            ),
+            headers=tuple(list_passed_on(request.raw_headers)),
             route=route.name,
             rank=deciding.find_rank(current, route, organisation),
             objective=now + route.objective_s,
@@ -208,6 +204,14 @@
         return reply
 
 
+def list_passed_on(raw_headers):
+    """Yield the header fields that go on to the target, as they came."""
+    for raw_name, value in raw_headers:
+        name = raw_name.decode('latin-1')
+        if name.lower() not in names.NOT_PASSED_ON:
+            yield name, value.decode('latin-1')
+
+
 def is_key(text: str | None) -> bool:
     """Return whether the text is a key of a service divided by ranges."""
     return (
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -12,8 +12,10 @@
 
 # Longest wait of one read. Peers exchange positions, so with PEERS_NEEDED of
 # them the reads of all nodes together keep each copy current; a node alone
-# reads more often.
+# reads more often. A change ends the reads of all nodes at once, so each wait
+# is drawn at random: otherwise all copies would age together.
 WAIT_S = 5.0
+SHORTEST_PART = 0.2
 WAIT_ALONE_S = 1.5
 PEERS_NEEDED = 3
 # Pauses between calls while the log does not answer.
@@ -95,7 +97,9 @@
             return
         offset = self._copy.end
         alone = self._count_peers() < PEERS_NEEDED
-        wait_s = WAIT_ALONE_S if alone else WAIT_S
+        wait_s = WAIT_ALONE_S
+        if not alone:
+            wait_s = WAIT_S * random.uniform(SHORTEST_PART, 1.0)
         try:
             batch = await self._topic.read(offset, wait_s)
         except errors.RetentionGap:
