Move keys by the measured load and capacity of their targets

Cause: equal key ranges on targets of unequal speed and hot neighbours; catalogo's busiest target got 2.7 times the mean.

--- a/sesamejunction/decisions/rangeplanning.py
+++ b/sesamejunction/decisions/rangeplanning.py
@@ -5,33 +5,53 @@
 from sesamejunction.model import ranges
 from sesamejunction.model import state
 
-# A plan with more ranges is joined where neighbours have one owner; a
-# target's answer to a heartbeat holds about 80 rows.
+# A plan with more ranges for each owner is compacted; the answer to a
+# heartbeat holds about 80 rows.
 MAX_RANGES_PER_OWNER = 24
 # Former owners are named again if their keys move on within this time, since
 # they may not have released them yet.
 UNSETTLED_S = 8.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Segment:
-    """Neighbouring keys and the requests a second for them."""
+# Shares of the targets' load are made even when the busiest has this much more
+# of its capacity in use than the least busy one, and more than BUSY of it.
+IMBALANCE = 0.12
+BUSY = 0.35
+# Below this rate, in requests a second, the measurement is too coarse.
+LEAST_RATE = 4.0
+# Moves in one plan; each one takes the moved keys away for a moment.
+MOST_MOVES = 8
 
-    first: int
-    last: int
-    rate: float
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Owner:
-    """A life that may own keys.
+    """A life with its load in requests a second.
 
-    ``capacity`` is in requests a second; ``segments`` cover its keys.
+    ``segments`` are first key, last key and rate of neighbouring keys.
     """
 
     life: ranges.Life
     capacity: float
-    segments: tuple[Segment, ...] = ()
+    segments: list[tuple[int, int, float]]
+
+    @property
+    def rate(self) -> float:
+        """Return the requests a second for all keys."""
+        return sum(rate for _, _, rate in self.segments)
+
+    @property
+    def use(self) -> float:
+        """Return the part of the capacity that is in use."""
+        return self.rate / self.capacity
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """Keys that go to another life."""
+
+    first: int
+    last: int
+    life: ranges.Life
 
 
 def list_owners(
@@ -178,6 +198,81 @@
     return tuple(result)
 
 
+def choose_moves(owners: list[Owner]) -> list[Move]:
+    """Return the moves that make the use of the targets' capacity even.
+
+    Busy narrow segments go first, so that few keys move.
+    """
+    moves = []
+    if len(owners) < 2 or sum(one.rate for one in owners) < LEAST_RATE:
+        return moves
+    while len(moves) < MOST_MOVES:
+        busiest = max(owners, key=lambda one: one.use)
+        idlest = min(owners, key=lambda one: one.use)
+        if busiest.use < BUSY or busiest.use - idlest.use < IMBALANCE:
+            break
+        # This much makes the use of the two equal.
+        surplus = (
+            busiest.rate * idlest.capacity - idlest.rate * busiest.capacity
+        ) / (idlest.capacity + busiest.capacity)
+        fitting = [one for one in busiest.segments if 0 < one[2] <= surplus]
+        if not fitting:
+            break
+        segment = max(fitting, key=lambda one: one[2] / _width(one))
+        busiest.segments.remove(segment)
+        idlest.segments.append(segment)
+        moves.append(Move(segment[0], segment[1], idlest.life))
+    return moves
+
+
+def _width(segment) -> int:
+    return segment[1] - segment[0] + 1
+
+
+def apply_moves(
+    owned: tuple[ranges.Range, ...], moves: list[Move], epoch: int, is_fresh
+) -> tuple[ranges.Range, ...]:
+    """Return the ranges after the moves."""
+    result = list(owned)
+    for move in moves:
+        after = []
+        for one in result:
+            first, last = max(one.first, move.first), min(one.last, move.last)
+            if first > last or one.owner == move.life:
+                after.append(one)
+                continue
+            if one.first < first:
+                after.append(dataclasses.replace(one, last=first - 1))
+            moved = dataclasses.replace(one, first=first, last=last)
+            after.append(give(moved, move.life, epoch, is_fresh(one)))
+            if last < one.last:
+                after.append(dataclasses.replace(one, first=last + 1))
+        result = after
+    return tuple(result)
+
+
+def compact_ranges(
+    owned: tuple[ranges.Range, ...], epoch: int, is_fresh
+) -> tuple[ranges.Range, ...]:
+    """Return the ranges with settled neighbours of one owner joined.
+
+    The joined range has a higher epoch, so that it stays one grant.
+    """
+    result = []
+    for one in owned:
+        last = result[-1] if result else None
+        if (
+            last is not None
+            and last.owner == one.owner
+            and not is_fresh(one)
+            and (last.epoch == epoch or not is_fresh(last))
+        ):
+            result[-1] = ranges.Range(last.first, one.last, epoch, last.owner)
+        else:
+            result.append(one)
+    return tuple(result)
+
+
 def join_ranges(
     owned: tuple[ranges.Range, ...],
 ) -> tuple[ranges.Range, ...]:
--- a/sesamejunction/model/leasing.py
+++ b/sesamejunction/model/leasing.py
@@ -98,7 +98,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskLoad:
-    """Asks how busy the target's keys are."""
+    """Asks how busy the target's keys are; the reply is a KeyLoadReport."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyLoadReport:
+    """Load of a target's keys in requests a second.
+
+    ``segments`` are first key, last key and rate; ``capacity`` is the rate
+    that the target can run.
+    """
+
+    segments: tuple[tuple[int, int, float], ...]
+    capacity: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -102,14 +102,9 @@
 
 
 class LoadReply(Frame, tag=12):
-    """Answers LoadQuestion.
+    """Answers LoadQuestion."""
 
-    ``segments`` are first key, last key and requests a second; ``capacity``
-    is the requests a second that the target can run.
-    """
-
-    segments: tuple[tuple[int, int, float], ...]
-    capacity: float
+    body: leasing.KeyLoadReport
 
 
 class Ping(Frame, tag=13):
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -22,6 +22,9 @@
 SILENT_S = 0.4
 # Longest wait for the answer to a question of a task.
 ASK_S = 1.2
+# A node replies this long before the deadline of its asker, so that a refusal
+# still says that nothing ran.
+REPLY_MARGIN_S = 0.015
 # Bodies from this size use a connection of their own, so that they do not
 # hold up small frames on a slow line.
 BULK_BYTES = 16 * 1024
@@ -164,7 +167,7 @@
             ) from error
         finally:
             link.end_exchange(number)
-        return frame if isinstance(frame, WHOLE_REPLIES) else frame.body
+        return frame if isinstance(frame, linking.CopyReply) else frame.body
 
     async def _connect(self, member, bulk, left_s) -> Link:
         key = member.incarnation, bulk
@@ -218,9 +221,6 @@
                 link.transport.close()
 
 
-WHOLE_REPLIES = (linking.CopyReply, linking.LoadReply)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerPorts:
     """What the accepting side needs.
@@ -298,6 +298,7 @@
 def encode_work(number, head, body, now) -> linking.Work:
     """Return the frame of a request."""
     objective_ms = min(head.objective - now, 1e6) * 1000
+    left_s = head.deadline - now - REPLY_MARGIN_S
     return linking.Work(
         number,
         head.request_id,
@@ -306,7 +307,7 @@
         head.path,
         head.route_key,
         head.organisation,
-        max(1, int((head.deadline - now) * 1000)),
+        max(1, int(left_s * 1000)),
         int(objective_ms),
         head.repeatable,
         head.headers,
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -1,10 +1,15 @@
 """Task that plans the owners of key ranges and the allocators of shares."""
 
+import asyncio
+import dataclasses
+
 import eliot
 
 from sesamejunction.decisions import rangeplanning
 from sesamejunction.model import journaling
+from sesamejunction.model import leasing
 from sesamejunction.model import owning
+from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.model import state
 from sesamejunction.tasks import actor
@@ -18,6 +23,17 @@
 # A planner that hears less than half of the members may itself be cut off.
 CUT_OFF_S = 8.0
 ALLOCATORS = 4
+# Loads are asked for this often; after a move the counts need some time.
+LOAD_S = 0.5
+MOVE_S = 1.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadsCame:
+    """The loads of the targets of a service, by life."""
+
+    service: str
+    loads: dict[ranges.Life, leasing.KeyLoadReport]
 
 
 class RangePlanner(actor.Actor):
@@ -32,7 +48,7 @@
     tick_s = TICK_S
 
     def __init__(
-        self, member: str, incarnation, position, presence, registrar
+        self, member: str, incarnation, position, presence, registrar, links
     ):
         super().__init__()
         self._member = member
@@ -40,6 +56,10 @@
         self._position = position
         self._presence = presence
         self._registrar = registrar
+        self._links = links
+        self._loads = {}
+        self._asked_at = float('-inf')
+        self._moved_at = float('-inf')
         self._state = state.State()
         self._changed_at = clock.read_boot_clock()
         self._silent_since = {}
@@ -58,6 +78,8 @@
                 self._silent_since = {
                     one: self._silent_since.get(one, now) for one in silent
                 }
+            case LoadsCame(service=service, loads=loads):
+                self._loads[service] = loads
 
     async def tick(self) -> None:
         """Propose what the state still needs, one record at a time."""
@@ -67,7 +89,9 @@
         if self._proposed_end == self._position.end:
             # The proposal that was made from here is still to be read.
             return
-        record = self._find_record(clock.read_boot_clock())
+        now = clock.read_boot_clock()
+        self._ask_loads(now)
+        record = self._find_record(now)
         if record is None:
             return
         end = self._position.end
@@ -142,6 +166,8 @@
             planned = rangeplanning.add_owners(
                 planned, lives, epoch, self._is_fresh
             )
+            if planned == plan.ranges:
+                planned = self._balance(service, planned, lives, epoch, now)
             planned = rangeplanning.join_ranges(planned)
             if planned == plan.ranges:
                 return None
@@ -155,6 +181,65 @@
         )
         return registry.PlanRecord(service, planned)
 
+    def _balance(self, service, owned, lives, epoch, now):
+        """Return the ranges after keys were moved by load."""
+        loads = self._loads.pop(service, None)
+        if loads is None or now - self._moved_at < MOVE_S:
+            return owned
+        if set(loads) != set(lives):
+            return owned
+        owners = [
+            rangeplanning.Owner(
+                life, max(1.0, found.capacity), list(found.segments)
+            )
+            for life, found in loads.items()
+        ]
+        moves = rangeplanning.choose_moves(owners)
+        if not moves:
+            return owned
+        self._moved_at = now
+        eliot.log_message(
+            'plan: load is made even',
+            service=service,
+            moves=moves,
+            capacities={
+                life.member: round(found.capacity)
+                for life, found in loads.items()
+            },
+        )
+        planned = rangeplanning.apply_moves(
+            owned, moves, epoch, self._is_fresh
+        )
+        limit = rangeplanning.MAX_RANGES_PER_OWNER * len(lives)
+        if len(planned) > limit:
+            planned = rangeplanning.compact_ranges(
+                planned, epoch, self._is_fresh
+            )
+        return planned
+
+    def _ask_loads(self, now) -> None:
+        if now - self._asked_at < LOAD_S:
+            return
+        self._asked_at = now
+        for service in self._state.services.values():
+            if service.routing is state.Routing.RANGE:
+                owners = rangeplanning.list_owners(
+                    self._state, service.name, self._presence.silent
+                )
+                asyncio.ensure_future(self._gather(service.name, owners))
+
+    async def _gather(self, service, owners) -> None:
+        found = await asyncio.gather(
+            *(self._links.ask(one, leasing.AskLoad()) for one in owners),
+            return_exceptions=True,
+        )
+        loads = {
+            one.life: report
+            for one, report in zip(owners, found, strict=True)
+            if isinstance(report, leasing.KeyLoadReport)
+        }
+        self.tell(LoadsCame(service, loads))
+
     def _plan_allocators(self, gone):
         current = self._state
         if not current.organisations:
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -5,6 +5,7 @@
 import eliot
 
 from sesamejunction.commands import ports as porting
+from sesamejunction.decisions import keyload
 from sesamejunction.decisions import scheduling
 from sesamejunction.model import gating
 from sesamejunction.model import journaling
@@ -30,8 +31,10 @@
 
     name = 'gate'
 
-    def __init__(self, service: str, clock=clock.read_boot_clock):
+    def __init__(self, service: str, holdings, clock=clock.read_boot_clock):
         super().__init__()
+        self._holdings = holdings
+        self._keys = keyload.KeyLoad()
         self._service = service
         self._clock = clock
         self._state = state.State()
@@ -66,11 +69,21 @@
                 self._suspect_until = self._clock() + SUSPECT_S
             case Wake():
                 self._start_waiting()
+            case leasing.AskLoad():
+                return self._report_keys()
             case journaling.StateChanged(state=current):
                 self._state = current
 
+    def _report_keys(self) -> leasing.KeyLoadReport:
+        return leasing.KeyLoadReport(
+            self._keys.list_segments(self._holdings.rows, self._clock()),
+            keyload.find_capacity(self._standing.slots, self._times.mean),
+        )
+
     def _admit(self, head):
         now = self._clock()
+        if head.route_key is not None:
+            self._keys.add(int(head.route_key), now)
         refusal = self._find_refusal(now)
         if refusal is not None:
             return refusal
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -15,6 +15,7 @@
 from sesamejunction.commands import hosting
 from sesamejunction.commands import ports as porting
 from sesamejunction import errors
+from sesamejunction.model import leasing
 from sesamejunction.model import linking
 from sesamejunction.model import messages
 from sesamejunction.model import operating
@@ -167,7 +168,9 @@
             registering,
             self._links,
         )
-        self._scheduler = scheduler.Scheduler(checked.target_service)
+        self._scheduler = scheduler.Scheduler(
+            checked.target_service, self._lease.holdings
+        )
         self._lease.subscribers = (self._scheduler,)
 
     def _build_state(self) -> None:
@@ -179,6 +182,7 @@
             self._fleet.view,
             self._presence_view,
             self._registrar,
+            self._links,
         )
         self._presence = presence.Presence(
             self._incarnation,
@@ -227,7 +231,7 @@
             return await hosting.host_request(hosting_ports, head, body)
 
         self._links.host_request = host_request
-        self._links.local = self._lease.ask
+        self._links.local = self._answer_local
         self._host_request = host_request
         ports = porting.Ports(
             incarnation=NO_INCARNATION,
@@ -346,6 +350,16 @@
             dumped = await task.ask(operating.GetDump())
             eliot.log_message('node: state dump', task=dumped)
 
+    async def _answer_local(self, message):
+        """Return this node's own answer to a question."""
+        match message:
+            case leasing.AskRelease():
+                return await self._lease.ask(message)
+            case leasing.AskTerm():
+                return await self._terms.ask(message)
+            case leasing.AskLoad():
+                return await self._scheduler.ask(message)
+
     async def answer(self, frame):
         """Return the reply to another node's question."""
         try:
@@ -356,6 +370,9 @@
                 case linking.TermQuestion(body=body):
                     released = await self._terms.ask(body)
                     return linking.ReleaseReply(frame.id, released)
+                case linking.LoadQuestion():
+                    report = await self._scheduler.ask(leasing.AskLoad())
+                    return linking.LoadReply(frame.id, report)
                 case linking.CopyQuestion(topic=topic):
                     one = self._declared
                     if topic == self._fleet_topic.name:
