--- a/sesamejunction/border/logs.py
+++ b/sesamejunction/border/logs.py
@@ -1,7 +1,9 @@
 """Sets up eliot: one JSON line for each message on standard output."""
 
+import collections
 import dataclasses
 import sys
+import time
 
 import eliot
 
@@ -18,6 +20,9 @@
     'peer:',
     'operator:',
 )
+# Lines of one message type a second; further ones are counted, and the next
+# second says how many there were.
+LINES_A_SECOND = 20
 
 
 def start_logging(name: str, stream=None) -> None:
@@ -42,3 +47,56 @@
             for field in dataclasses.fields(value)
         }
     return getattr(value, 'value', None) or str(value)
+
+
+class LineLimit:
+    """Writes at most so many lines a second of each message type."""
+
+    def __init__(self, limit: int = LINES_A_SECOND, clock=time.monotonic):
+        self._limit = limit
+        self._clock = clock
+        self._second = None
+        self._lines = collections.Counter()
+
+    def log(self, message_type: str, **fields) -> None:
+        """Write a line, or only count it when there were too many."""
+        if self._allow(message_type):
+            eliot.log_message(message_type, **fields)
+
+    def _allow(self, message_type: str) -> bool:
+        second = int(self._clock())
+        if second != self._second:
+            dropped = {
+                one: count - self._limit
+                for one, count in self._lines.items()
+                if count > self._limit
+            }
+            self._second = second
+            self._lines.clear()
+            if dropped:
+                eliot.log_message('node: lines dropped', counts=dropped)
+        self._lines[message_type] += 1
+        return self._lines[message_type] <= self._limit
+
+
+class DroppingStream:
+    """Text stream that drops lines while its reader does not read.
+
+    A file descriptor that would block costs lines, not time.
+    """
+
+    def __init__(self, write, flush=lambda: None):
+        self._write = write
+        self._flush = flush
+        self.dropped = 0
+
+    def write(self, text: str) -> None:
+        """Write a line or drop it."""
+        try:
+            self._write(text)
+        except BlockingIOError:
+            self.dropped += 1
+
+    def flush(self) -> None:
+        """Do nothing; each line is written at once."""
+        self._flush()
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -3,8 +3,6 @@
 import asyncio
 import dataclasses
 
-import eliot
-
 from sesamejunction.commands import ports as porting
 from sesamejunction import errors
 from sesamejunction.model import gating
@@ -28,7 +26,7 @@
     lease: porting.Task
     holdings: object
     target: object
-    counters: object
+    lines: object
     clock: object
     misses: int = 0
 
@@ -105,10 +103,10 @@
             reply = await ports.target.send(head, body)
     except errors.PeerLost as error:
         _note_miss(ports)
-        return _explain_lost(head, str(error))
+        return _explain_lost(ports, head, str(error))
     except TimeoutError:
         _note_miss(ports)
-        return _explain_lost(head, 'no answer within the deadline')
+        return _explain_lost(ports, head, 'no answer within the deadline')
     except errors.PeerUnavailable as error:
         if isinstance(error, errors.TargetGone):
             ports.lease.tell(leasing.TargetRefused())
@@ -134,9 +132,13 @@
         ports.scheduler.tell(leasing.TargetRefused())
 
 
-def _explain_lost(head, reason) -> requests.Refusal:
-    eliot.log_message(
-        'gate: answer lost', request=head.request_id, reason=reason
+def _explain_lost(ports, head, reason) -> requests.Refusal:
+    ports.lines.log(
+        'gate: answer lost',
+        request=head.request_id,
+        service=head.service,
+        left_s=round(head.deadline - ports.clock(), 3),
+        reason=reason,
     )
     return requests.Refusal(
         requests.Code.LOST,
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-import eliot
-
+from sesamejunction.border import logs
 from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import keyload
 from sesamejunction.decisions import scheduling
@@ -34,6 +33,7 @@
     def __init__(self, service: str, holdings, clock=clock.read_boot_clock):
         super().__init__()
         self._holdings = holdings
+        self._lines = logs.LineLimit()
         self._keys = keyload.KeyLoad()
         self._service = service
         self._clock = clock
@@ -211,8 +211,9 @@
         if found is not None and finished.latency_s is not None:
             self._times.record(found[0].route, finished.latency_s)
         if finished.shed:
-            eliot.log_message(
+            self._lines.log(
                 'gate: target refused work',
+                request=finished.request_id,
                 running=len(self._running),
                 slots=self._standing.slots,
             )
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -9,6 +9,7 @@
 
 from sesamejunction.border import hostedsettings
 from sesamejunction.border import httpwire
+from sesamejunction.border import logs
 from sesamejunction.border import packets as codec
 from sesamejunction.border import pools
 from sesamejunction.border import registrycodec
@@ -223,7 +224,7 @@
             server.ServerPort(
                 self._connections, self._find_target, clock.read_boot_clock
             ),
-            self._audit,
+            logs.LineLimit(),
             clock.read_boot_clock,
         )
 
--- /dev/null
+++ b/test/process/test_hosted.py
@@ -0,0 +1,332 @@
+"""Hosted nodes as processes, with stand-ins of the store and the servers."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import time
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from standins import keyserver
+from standins import store as storing
+
+pytestmark = pytest.mark.process
+
+KEY = 'caller-key'
+CONFIG = {
+    'version': 3,
+    'routes': [
+        {
+            'name': 'lookup',
+            'host': 'shop.example',
+            'pathPrefix': '/look/',
+            'kind': 'idempotent',
+            'timeoutS': 2.0,
+            'targetLatencyS': 0.2,
+            'priority': 1,
+            'service': 'lookup',
+            'maxAttempts': 2,
+        },
+        {
+            'name': 'order',
+            'host': 'shop.example',
+            'pathPrefix': '/order/',
+            'kind': 'non_idempotent',
+            'timeoutS': 2.0,
+            'targetLatencyS': 0.2,
+            'service': 'orders',
+            'maxAttempts': 2,
+        },
+    ],
+    'services': [
+        {'name': 'lookup', 'sharded': True},
+        {'name': 'orders', 'coldPerS': 50},
+    ],
+    'tenants': [
+        {'name': 'one', 'apiKeys': [KEY], 'ratePerS': 500, 'burst': 500}
+    ],
+}
+PORTS = ('peer', 'callers', 'ready', 'control', 'target', 'metrics')
+READY_S = 15.0
+
+
+def find_ports(count):
+    """Return free ports."""
+    with contextlib.ExitStack() as stack:
+        found = []
+        for _ in range(count):
+            one = stack.enter_context(socket.socket())
+            one.bind(('127.0.0.1', 0))
+            found.append(one.getsockname()[1])
+        return found
+
+
+class Machine:
+    """One node process and the server beside it."""
+
+    def __init__(self, number, service, store_address, history):
+        self.name = f'node-{number}'
+        self.host = f'127.0.0.{number + 10}'
+        self._service = service
+        self._store_address = store_address
+        self._history = history
+        self.ports = dict(zip(PORTS, find_ports(len(PORTS)), strict=True))
+        self.process = None
+        self.server = None
+
+    def address(self, name):
+        return f'{self.host}:{self.ports[name]}'
+
+    async def start_node(self):
+        settings = {
+            'NAME': self.name,
+            'ZONE': f'zone-{self.host[-1]}',
+            'HOST': self.host,
+            'PEER_PORT': str(self.ports['peer']),
+            'CALLERS': self.address('callers'),
+            'READINESS': self.address('ready'),
+            'HEARTBEATS': self.address('control'),
+            'TARGET': self.address('target'),
+            'TARGET_SERVICE': self._service,
+            'LOG': self._store_address,
+            'METRICS_PORT': str(self.ports['metrics']),
+        }
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'sesamejunction.ui.hosted',
+            env={
+                **os.environ,
+                **{f'SESAMEJUNCTION_{k}': v for k, v in settings.items()},
+            },
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    async def start_server(self, name):
+        self.server = keyserver.KeyServer(
+            name,
+            self._service,
+            self.address('target'),
+            self.address('control'),
+            self._history,
+        )
+        await self.server.__aenter__()
+
+    async def stop_server(self):
+        server, self.server = self.server, None
+        await server.__aexit__(None, None, None)
+
+    async def end(self, number=signal.SIGKILL):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+            await self.process.wait()
+
+
+class Fleet:
+    """Machines with a common store; ``history`` has all holds."""
+
+    def __init__(self):
+        self.store = storing.Store()
+        self.history = []
+        self.machines = []
+        self._stack = contextlib.AsyncExitStack()
+        self._count = 0
+
+    async def __aenter__(self):
+        runner = web.ServerRunner(self.store.build_server())
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        (port,) = find_ports(1)
+        await web.TCPSite(runner, '127.0.0.1', port).start()
+        await self.store.put('keyed.op', 'config', json.dumps(CONFIG).encode())
+        services = ('lookup', 'lookup', 'lookup', 'orders')
+        for number, service in enumerate(services):
+            one = Machine(number, service, f'127.0.0.1:{port}', self.history)
+            self.machines.append(one)
+            self._stack.push_async_callback(one.end)
+            await one.start_server(f'server-{number}')
+            self._stack.push_async_callback(self._stop_server, one)
+        self._session = await self._stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        await asyncio.gather(*(one.start_node() for one in self.machines))
+        await self.wait_until_served()
+        return self
+
+    async def __aexit__(self, *exc):
+        return await self._stack.__aexit__(*exc)
+
+    async def _stop_server(self, one):
+        if one.server is not None:
+            await one.stop_server()
+
+    async def call(self, machine, path, key=None, token=KEY, method='GET'):
+        """Return status and body of one request through a machine."""
+        self._count += 1
+        headers = {
+            'Host': 'shop.example',
+            'X-Attempt-Id': f'attempt-{self._count}',
+            'X-Deadline-Ms': '1000',
+            'Authorization': f'Token {token}',
+        }
+        if key is not None:
+            headers['X-Shard-Key'] = str(key)
+        try:
+            async with self._session.request(
+                method,
+                f'http://{machine.address("callers")}{path}',
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=3),
+            ) as reply:
+                return reply.status, await reply.read()
+        except aiohttp.ClientError:
+            return 0, b''
+
+    async def is_served(self, machine):
+        for key in range(0, 65536, 8192):
+            status, _ = await self.call(machine, '/look/x', key)
+            if status != 200:
+                return False
+        return True
+
+    async def wait_until_served(self, limit_s=READY_S):
+        """Wait until all keys are served; returns the seconds it took."""
+        started = time.monotonic()
+        while time.monotonic() - started < limit_s:
+            if all([await self.is_served(one) for one in self.machines[-1:]]):
+                return time.monotonic() - started
+            await asyncio.sleep(0.1)
+        raise AssertionError(f'keys are not served after {limit_s} s')
+
+    def check_holds(self):
+        """Check that no two servers held one key at the same time.
+
+        A hold lasts until the server's next answer, or to its end.
+        """
+        spans = []
+        latest = {}
+        for at, name, first, last, fence, end in self.history:
+            for other, (since, rows, until) in latest.items():
+                if other == name or until <= at:
+                    continue
+                for low, high, _ in rows:
+                    if low <= last and first <= high:
+                        spans.append((at, name, other, first, last, since))
+            rows = [
+                one
+                for one in latest.get(name, (at, [], 0))[1]
+                if latest[name][0] == at
+            ]
+            latest[name] = (at, [*rows, (first, last, fence)], end)
+        assert not spans
+
+    def check_fences(self):
+        """Check that a key that moves has a higher fence each time."""
+        known = {}
+        for _, name, first, last, fence, _ in self.history:
+            for low, high, holder, token in list(known.values()):
+                if low <= last and first <= high and holder != name:
+                    assert fence > token or token > fence
+            known[name, first, last] = (first, last, name, fence)
+
+
+async def test_requests_reach_the_owner_with_the_organisation():
+    async with Fleet() as fleet:
+        status, body = await fleet.call(
+            fleet.machines[3], '/order/1', method='POST'
+        )
+        assert (status, body) == (200, b'whole')
+        headers = fleet.machines[3].server.ran[-1][1]
+        assert headers['X-Tenant'] == 'one'
+        assert headers['X-Caller-Service'] == 'orders'
+        assert 'Authorization' not in headers
+        for token, path, expected in (
+            ('wrong', '/order/1', 401),
+            (KEY, '/nothing/', 404),
+        ):
+            found = await fleet.call(fleet.machines[0], path, token=token)
+            assert found[0] == expected
+
+
+async def test_node_restart_moves_no_keys():
+    """The server's holds outlive the node; nothing may be granted anew."""
+    async with Fleet() as fleet:
+        one = fleet.machines[0]
+        before = sorted(one.server.holds)
+        await one.end()
+        await one.start_node()
+        await fleet.wait_until_served()
+        assert sorted(one.server.holds) == before
+        fleet.check_holds()
+
+
+async def test_server_restarted_under_its_name_gets_its_keys_again():
+    async with Fleet() as fleet:
+        one = fleet.machines[1]
+        before = [row[:2] for row in sorted(one.server.holds)]
+        fence = max(row[2] for row in one.server.holds)
+        await one.stop_server()
+        await one.start_server('server-1')
+        await fleet.wait_until_served()
+        assert [row[:2] for row in sorted(one.server.holds)] == before
+        assert min(row[2] for row in one.server.holds) > fence
+        fleet.check_holds()
+
+
+async def test_silent_store_costs_no_key():
+    """An outage shorter than a node's authority changes nothing."""
+    async with Fleet() as fleet:
+        fleet.store.silent = True
+        for _ in range(16):
+            await asyncio.sleep(0.2)
+            assert await fleet.is_served(fleet.machines[3])
+        fleet.store.silent = False
+        fleet.check_holds()
+
+
+async def test_turned_away_node_follows_its_peers():
+    """A key withdrawn while one node cannot read the store stops there."""
+    async with Fleet() as fleet:
+        one = fleet.machines[0]
+        fleet.store.turned_away.add('127.0.0.1')
+        assert (await fleet.call(one, '/look/x', 5))[0] == 200
+        fleet.store.turned_away.clear()
+        changed = {**CONFIG, 'version': 4, 'tenants': []}
+        changed['tenants'] = [{**CONFIG['tenants'][0], 'apiKeys': ['other']}]
+        await fleet.store.put(
+            'keyed.op', 'config', json.dumps(changed).encode()
+        )
+        await asyncio.sleep(2.0)
+        assert (await fleet.call(one, '/look/x', 5))[0] == 401
+
+
+async def test_lost_node_and_server_are_replaced():
+    """Keys of a machine that is gone move after the longest hold."""
+    async with Fleet() as fleet:
+        one = fleet.machines[2]
+        await one.stop_server()
+        await one.end()
+        taken = await fleet.wait_until_served(20.0)
+        assert taken > 1.0
+        fleet.check_holds()
+        fleet.check_fences()
+
+
+async def test_planned_stop_cuts_nothing():
+    async with Fleet() as fleet:
+        one = fleet.machines[0]
+        stop = asyncio.ensure_future(one.end(signal.SIGTERM))
+        statuses = []
+        while not stop.done():
+            status, _ = await fleet.call(one, '/order/1', method='POST')
+            statuses.append(status)
+            await asyncio.sleep(0.02)
+        served = statuses[: statuses.index(0)] if 0 in statuses else statuses
+        assert set(served) <= {200}
+        assert one.process.returncode == 0
--- a/test/test_hosting.py
+++ b/test/test_hosting.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesamejunction.border import logs
 from sesamejunction.commands import hosting
 from sesamejunction.commands import ports as porting
 from sesamejunction.commands import wholes
@@ -67,8 +68,8 @@
 async def run(target, reply=ADMITTED, wait_s=0.0):
     scheduler = FakeScheduler(reply, wait_s)
     ports = hosting.Ports(
-        porting.StateView(), scheduler, scheduler, None, target, None,
-        time.monotonic,
+        porting.StateView(), scheduler, scheduler, None, target,
+        logs.LineLimit(), time.monotonic,
     )  # fmt: skip
     outcome = await hosting.host_request(ports, make_head(), b'')
     return outcome, scheduler
