Keep allocators in numbered places; register a process at its start

Places change one by one now, and a new process registers at once with what its predecessor knew of the target. The planner makes its proposals from the state's own offset. Waiting requests are refused when too little time is left.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -15,6 +15,8 @@
 # After so many answers missing in a row, idle connections are taken for
 # silent and the target for possibly cold.
 MISSES = 2
+# A request starts only if this part of its usual time is left.
+START_PART = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,13 +76,17 @@
 
 async def _take_place(ports, head) -> requests.Refusal | None:
     """Wait for a place at the target; returns why there is none, or None."""
+    # Later than this it would start only to be given up half-way.
+    least_s = ports.scheduler.expect_time(head.route) * START_PART
+    left_s = head.deadline - least_s - ports.clock()
     try:
-        async with asyncio.timeout(max(0.0, head.deadline - ports.clock())):
+        async with asyncio.timeout(max(0.0, left_s)):
             reply = await ports.scheduler.ask(gating.Admit(head))
     except TimeoutError:
         return refuse(
             requests.Code.DEADLINE,
-            'the deadline passed while the request waited',
+            'too little time was left after the wait for a place',
+            retry_after_s=RETRY_AFTER_S,
         )
     except (errors.InboxFull, errors.TaskStopped) as error:
         return refuse(requests.Code.OVERLOADED, str(error), retry_after_s=1.0)
--- a/sesamejunction/decisions/rangeplanning.py
+++ b/sesamejunction/decisions/rangeplanning.py
@@ -303,16 +303,38 @@
     candidates: list[state.Member],
     present: state.Allocators | None,
     count: int,
-) -> tuple[int, ...]:
-    """Return the members that hand out shares, keeping present ones.
+    epoch: int,
+    is_fresh,
+) -> state.Allocators | None:
+    """Return who hands out shares, keeping what can stay.
 
-    A later process of the same node takes the place of an earlier one.
+    A later process of the same node takes the place of an earlier one; other
+    places go to the candidates that have the fewest. Returns None when there
+    is no candidate.
     """
-    able = [one.incarnation for one in candidates]
-    kept = [one for one in (present.members if present else ()) if one in able]
-    for one in able:
-        if len(kept) >= count:
-            break
-        if one not in kept:
-            kept.append(one)
-    return tuple(kept[:count])
+    if not candidates:
+        return None
+    able = {one.incarnation for one in candidates}
+    by_name = {one.name: one for one in candidates}
+    had = dict.fromkeys(able, 0)
+    places = list(present.places) if present else [None] * count
+    for one in places:
+        if one is not None and one.member in able:
+            had[one.member] += 1
+    for number, one in enumerate(places):
+        if one is not None and one.member in able:
+            continue
+        heir = by_name.get(one.name) if one else None
+        if heir is None:
+            heir = min(
+                candidates, key=lambda two: (had[two.incarnation], two.name)
+            )
+        had[heir.incarnation] += 1
+        previous = ()
+        if one is not None:
+            earlier = one.previous if is_fresh(one) else ()
+            previous = tuple(dict.fromkeys((one.member, *earlier)))
+        places[number] = state.AllocatorPlace(
+            heir.incarnation, heir.name, epoch, previous
+        )
+    return state.Allocators(tuple(places))
--- a/sesamejunction/decisions/registry.py
+++ b/sesamejunction/decisions/registry.py
@@ -12,10 +12,12 @@
     records: collections.abc.Iterable[registry.Record],
     declared: registry.Declared | None,
     evacuated: collections.abc.Set[str],
+    offset: int,
 ) -> state.State:
     """Return the state that the newest records and declarations describe.
 
-    ``evacuated`` names the availability zones that take no new work.
+    ``evacuated`` names the availability zones that take no new work;
+    ``offset`` is the end of the fleet's topic that the records are from.
     """
     members = {}
     plans = {}
@@ -32,6 +34,7 @@
     if allocators is not None:
         tables[state.SHARES_SERVICE] = build_share_table(allocators)
     found = {
+        'offset': offset,
         'members': members,
         'ranges': plans,
         'tables': tables,
@@ -73,16 +76,12 @@
 
 
 def build_share_table(record: state.Allocators) -> state.Table:
-    """Return the slots of the shares service, spread over the allocators.
-
-    A slot's order starts with its allocator; the others follow.
-    """
-    count = len(record.members)
+    """Return the slots of the shares service, spread over the places."""
+    count = len(record.places)
     orders = []
     for slot in range(state.SHARES_SLOTS):
-        turn = slot % count if count else 0
-        order = record.members[turn:] + record.members[:turn]
-        orders.append(state.SlotOrder(record.epoch, order) if order else None)
+        place = record.places[slot % count]
+        orders.append(state.SlotOrder(place.epoch, (place.member,)))
     return state.Table(tuple(orders))
 
 
--- a/sesamejunction/model/state.py
+++ b/sesamejunction/model/state.py
@@ -159,17 +159,29 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Allocators:
-    """Members that hand out shares, by a record that the fleet agreed on.
+class AllocatorPlace:
+    """One of the places that hand out shares, and who has it.
 
-    ``previous`` are the allocators of the epoch before.
+    ``epoch`` grows with each change of the member. ``previous`` had the place
+    before; the member waits for their release.
     """
 
+    member: int
+    name: str
     epoch: int
-    members: tuple[int, ...]
     previous: tuple[int, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allocators:
+    """Members that hand out shares, by a record that the fleet agreed on.
+
+    The number of places stays, so that an organisation's place does.
+    """
+
+    places: tuple[AllocatorPlace, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """Everything folded from the log before ``offset``.
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -39,21 +39,18 @@
 class RangePlanner(actor.Actor):
     """Plans on the reachable member with the lowest name.
 
-    ``position`` is the view of the fleet topic, ``presence`` that of the
-    members heard of; ``registrar`` takes proposals, which fail when the
-    topic has grown, so that two planners cannot both succeed.
+    ``presence`` is the view of the members heard of; ``registrar`` takes
+    proposals, which fail when the fleet's topic has grown since the state
+    was folded, so that two planners cannot both succeed.
     """
 
     name = 'planner'
     tick_s = TICK_S
 
-    def __init__(
-        self, member: str, incarnation, position, presence, registrar, links
-    ):
+    def __init__(self, member: str, incarnation, presence, registrar, links):
         super().__init__()
         self._member = member
         self._incarnation = incarnation
-        self._position = position
         self._presence = presence
         self._registrar = registrar
         self._links = links
@@ -86,7 +83,7 @@
         current = self._state
         if not current.members or not self._is_planner():
             return
-        if self._proposed_end == self._position.end:
+        if self._proposed_end == self._state.offset:
             # The proposal that was made from here is still to be read.
             return
         now = clock.read_boot_clock()
@@ -94,7 +91,7 @@
         record = self._find_record(now)
         if record is None:
             return
-        end = self._position.end
+        end = self._state.offset
         offset = await self._registrar.ask(registry.Propose(record, end))
         self._proposed_end = end if offset is not None else None
 
@@ -112,6 +109,8 @@
             for plan in current.ranges.values()
             for one in plan.ranges
         }
+        if current.allocators is not None:
+            epochs.update(one.epoch for one in current.allocators.places)
         self._seen = {one: self._seen.get(one, now) for one in epochs}
 
     def _is_planner(self) -> bool:
@@ -149,7 +148,7 @@
                 record = self._plan_service(service.name, gone, now)
                 if record is not None:
                     return record
-        return self._plan_allocators(gone)
+        return self._plan_allocators(gone, now)
 
     def _plan_service(self, service, gone, now):
         current = self._state
@@ -157,7 +156,7 @@
         if not owners:
             return None
         lives = [one.life for one in owners]
-        epoch = self._position.end + 1
+        epoch = self._state.offset + 1
         plan = current.ranges.get(service)
         if plan is None:
             if now - self._changed_at < SETTLE_S:
@@ -181,7 +180,7 @@
             epoch=epoch,
             owners=[one.name for one in owners],
             gone=sorted(gone),
-            end=self._position.end,
+            end=self._state.offset,
         )
         return registry.PlanRecord(service, planned)
 
@@ -244,7 +243,7 @@
         }
         self.tell(LoadsCame(service, loads))
 
-    def _plan_allocators(self, gone):
+    def _plan_allocators(self, gone, now):
         current = self._state
         if not current.organisations:
             return None
@@ -258,14 +257,19 @@
             key=lambda one: one.name,
         )
         present = current.allocators
+        if present is None and now - self._changed_at < SETTLE_S:
+            return None
         chosen = rangeplanning.choose_allocators(
-            candidates, present, ALLOCATORS
+            candidates,
+            present,
+            ALLOCATORS,
+            self._state.offset + 1,
+            self._is_fresh,
         )
-        if not chosen or (present and present.members == chosen):
+        if chosen is None or chosen == present:
             return None
-        eliot.log_message('plan: allocators change', members=chosen)
-        return state.Allocators(
-            self._position.end + 1,
-            chosen,
-            present.members if present else (),
+        eliot.log_message(
+            'plan: allocators change',
+            places=[(one.name, one.epoch) for one in chosen.places],
         )
+        return chosen
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -31,7 +31,7 @@
         self._records = {}
         self._declared = None
         self._evacuated = frozenset()
-        self._version = -1
+        self._end = 0
 
     async def handle(self, message):
         """Handle one message."""
@@ -57,6 +57,7 @@
                 continue
             records[key] = item.offset, record
         self._records = records
+        self._end = copy.end
 
     def _take_declared(self, copy) -> None:
         declared, evacuated = self._read_declared(copy, self._declared)
@@ -89,6 +90,7 @@
             (record for _, record in self._records.values()),
             self._declared,
             self._evacuated,
+            self._end,
         )
         changed = journaling.StateChanged(current)
         for one in self._subscribers:
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -55,6 +55,10 @@
             self._times.mean,
         )
 
+    def expect_time(self, route: str) -> float:
+        """Return the expected seconds of one request of a route."""
+        return self._times.expect(route)
+
     async def handle(self, message):
         """Handle one message."""
         match message:
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -41,6 +41,18 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoTarget:
+    """What a node knows of its target before anything was registered."""
+
+    life: None = None
+    slots: int = 0
+    leaving: bool = False
+
+
+NO_TARGET = NoTarget()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Identity:
     """Who this node is in its registration."""
@@ -86,6 +98,8 @@
         self._last_answer = leasing.Renewal()
         self._back_at = float('-inf')
         self._registered = None
+        self._registered_target = False
+        self._inherited = None
         self.holdings = HoldingsView()
         self.subscribers = ()
         self.standing = None
@@ -127,7 +141,7 @@
         self._serve_claimants(now)
         heard = self._lease.heard_at
         if (
-            self._lease.life is not None
+            (self._lease.life is not None or not self._registered_target)
             and now - heard > SILENT_TARGET_S
             and now > self._lease.hold_end
             and not self._is_silent
@@ -156,6 +170,7 @@
             self._leaving_since = None
         lease.take_heartbeat(heartbeat, now)
         self._heartbeat = heartbeat
+        self._registered_target = True
         self._is_silent = False
         self._cold_until = max(
             now + heartbeat.cold_left_s,
@@ -314,6 +329,8 @@
 
     def _take_state(self, current, now) -> None:
         before, self._state = self._state, current
+        if self._inherited is None and current.offset > 0:
+            self._inherit(current)
         service = self._identity.service
         plan = current.ranges.get(service)
         if plan is not None and plan != before.ranges.get(service):
@@ -334,9 +351,21 @@
             self._ask_claims(now)
             self._serve_claimants(now)
 
+    def _inherit(self, current) -> None:
+        """Register this process, with what is known of the target."""
+        self._inherited = next(
+            (
+                one
+                for one in current.members.values()
+                if one.name == self._identity.name
+            ),
+            NO_TARGET,
+        )
+        self._register()
+
     def _register(self) -> None:
-        lease, who = self._lease, self._identity
-        slots = self._heartbeat.slots if self._heartbeat else 0
+        who = self._identity
+        before = self._inherited or NO_TARGET
         record = registry.MemberRecord(
             who.name,
             who.incarnation,
@@ -344,15 +373,28 @@
             who.host,
             who.peer_port,
             who.service,
-            slots,
-            None if self._is_silent else lease.life,
-            leaving=self._leaving_since is not None,
+            self._heartbeat.slots if self._heartbeat else before.slots,
+            self._find_life(before),
+            leaving=self._leaving_since is not None
+            or (self._heartbeat is None and before.leaving),
             stopping=self._stopping,
         )
         if record != self._registered:
             self._registered = record
             self._registrar.tell(registry.Register(record))
 
+    def _find_life(self, before):
+        """Return the life to register, None when there is no target.
+
+        Until the first heartbeat a new process keeps what the former one
+        has registered, so that its start moves no keys.
+        """
+        if self._is_silent:
+            return None
+        if self._heartbeat is None and self._registered_target is False:
+            return before.life
+        return self._lease.life
+
     def _publish(self) -> None:
         standing = leasing.Standing(
             self._lease.life,
--- a/sesamejunction/tasks/terms.py
+++ b/sesamejunction/tasks/terms.py
@@ -28,7 +28,6 @@
     """
 
     name = 'terms'
-    tick_s = 0.1
 
     def __init__(self, incarnation: int, position, links):
         super().__init__()
@@ -36,9 +35,8 @@
         self._position = position
         self._links = links
         self._state = state.State()
-        self._epoch = 0
-        self._seen_at = float('inf')
-        self._owed = set()
+        self._seen_at = {}
+        self._owed = {}
 
     async def handle(self, message):
         """Handle one message."""
@@ -49,36 +47,46 @@
             case owning.EnterSlot(slot=slot):
                 return self._enter(slot, now)
             case leasing.AskTerm(epoch=epoch):
-                return leasing.Released(self._epoch >= epoch)
+                # Who has read the epoch has stopped handing out under the
+                # one before.
+                return leasing.Released(epoch in self._seen_at)
             case TermReleased(epoch=epoch, member=member):
-                if epoch == self._epoch:
-                    self._owed.discard(member)
-                    eliot.log_message(
-                        'share: former allocator stopped',
-                        epoch=epoch,
-                        former=member,
-                    )
+                self._owed.get(epoch, set()).discard(member)
+                eliot.log_message(
+                    'share: former allocator stopped',
+                    epoch=epoch,
+                    former=member,
+                )
 
     def _take_state(self, current, now) -> None:
         self._state = current
-        record = current.allocators
-        if record is None or record.epoch == self._epoch:
+        if current.allocators is None:
             return
-        self._epoch = record.epoch
-        self._seen_at = now
-        self._owed = set()
-        if self._incarnation not in record.members:
-            return
-        self._owed = set(record.previous) - {self._incarnation}
-        for one in list(self._owed):
-            if one not in current.members:
-                # Its node has registered a later process since.
-                self._owed.discard(one)
-            else:
-                asyncio.ensure_future(self._ask(record.epoch, one))
+        places = {one.epoch: one for one in current.allocators.places}
+        for epoch, place in places.items():
+            if epoch in self._seen_at:
+                continue
+            self._seen_at[epoch] = now
+            if place.member == self._incarnation:
+                self._begin(place)
+        for epoch in self._seen_at.keys() - places.keys():
+            del self._seen_at[epoch]
+            self._owed.pop(epoch, None)
+
+    def _begin(self, place) -> None:
+        """Ask the former allocators of a place whether they have stopped."""
+        owed = {
+            one
+            for one in place.previous
+            # Others have been replaced by a later process.
+            if one != self._incarnation and one in self._state.members
+        }
+        self._owed[place.epoch] = owed
+        for one in owed:
+            asyncio.ensure_future(self._ask(place.epoch, one))
 
     async def _ask(self, epoch, incarnation) -> None:
-        while epoch == self._epoch and incarnation in self._owed:
+        while incarnation in self._owed.get(epoch, ()):
             member = self._state.members.get(incarnation)
             if member is None:
                 break
@@ -87,6 +95,7 @@
                 if reply.released:
                     break
             except errors.PeerUnavailable:
+                # Asked again until it answers or its authority has ended.
                 pass
             await asyncio.sleep(ASK_PAUSE_S)
         self.give_back(TermReleased(epoch, incarnation))
@@ -95,13 +104,13 @@
         table = self._state.tables.get(state.SHARES_SERVICE)
         arranged = table.orders[slot] if table else None
         if arranged is None or arranged.order[0] != self._incarnation:
-            return owning.NotServing(None, self._epoch)
-        if self._owed and now - self._seen_at < deciding.WAIT_S:
-            return owning.NotServing(None, self._epoch)
+            return owning.NotServing(None, 0)
+        epoch = arranged.epoch
+        seen_at = self._seen_at.get(epoch, now)
+        if self._owed.get(epoch) and now - seen_at < deciding.WAIT_S:
+            return owning.NotServing(None, epoch)
         end = self._position.as_of + deciding.AUTHORITY_S
-        return owning.Serving(
-            requests.Token(self._epoch, 0), end, end, time.time()
-        )
+        return owning.Serving(requests.Token(epoch, 0), end, end, time.time())
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -182,7 +182,6 @@
         self._planner = rangeplanner.RangePlanner(
             checked.name,
             self._incarnation,
-            self._fleet.view,
             self._presence_view,
             self._registrar,
             self._links,
--- a/standins/store.py
+++ b/standins/store.py
@@ -42,8 +42,9 @@
 class Store:
     """Answers the calls that the node makes.
 
-    While ``silent`` is set no call is answered; calls of the hosts in
-    ``turned_away`` are refused. ``lose_replies`` loses so many answers to
+    While ``silent`` is set no call is answered; the callers named in
+    ``turned_away`` get no answer either. ``callers`` names them by the
+    address at which they call. ``lose_replies`` loses so many answers to
     appends, after they took effect.
     """
 
@@ -51,6 +52,7 @@
         self.topics = collections.defaultdict(Topic)
         self.silent = False
         self.turned_away = set()
+        self.callers = {}
         self.lose_replies = 0
         self.calls = collections.Counter()
         self._changed = asyncio.Condition()
@@ -68,8 +70,23 @@
         self.calls[request.path] += 1
         if self.silent:
             await asyncio.sleep(3600)
-        if request.remote in self.turned_away:
+        if self._is_turned_away(request):
             return web.Response(status=503)
+        reply = await self._dispatch(request)
+        if self._is_turned_away(request):
+            request.transport.abort()
+        return reply
+
+    def _is_turned_away(self, request) -> bool:
+        host = (
+            request.transport
+            and request.transport.get_extra_info('sockname')[0]
+        )
+        found = self.callers.get(host) in self.turned_away
+        self.calls['turned away'] += found
+        return found
+
+    async def _dispatch(self, request):
         handlers = {
             '/log-append': self._take_append,
             '/log-read': self._read,
--- a/test/test_hosting.py
+++ b/test/test_hosting.py
@@ -32,6 +32,9 @@
         await asyncio.sleep(self._wait_s)
         return self._reply
 
+    def expect_time(self, _route):
+        return 0.0
+
     def give_back(self, message):
         self.given_back.append(message)
 
