--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -12,6 +12,8 @@
 
 refuse = porting.refuse
 RETRY_AFTER_S = 0.1
+# A key that is not taken over at once waits for a hold to run out.
+MOVING_RETRY_S = 0.5
 # After so many answers missing in a row, idle connections are taken for
 # silent and the target for possibly cold.
 MISSES = 2
@@ -48,8 +50,15 @@
     service = ports.states.current.services.get(head.service)
     if service is None or service.routing is not state.Routing.RANGE:
         return None
-    if ports.holdings.holds(int(head.route_key), ports.clock()):
+    key, now = int(head.route_key), ports.clock()
+    if ports.holdings.holds(key, now):
         return None
+    if ports.holdings.is_delayed(key, now):
+        return refuse(
+            requests.Code.MOVING,
+            'the key waits for its former owner; come back later',
+            retry_after_s=MOVING_RETRY_S,
+        )
     return refuse(
         requests.Code.NOT_OWNER,
         'the target does not hold the key now; ask again',
--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -19,6 +19,9 @@
 # With the pauses below, as many as fit into the default deadline.
 MAX_ATTEMPTS = 24
 ORDER_LENGTH = 3
+# Attempts after ones that reached no target and take nothing from the budget
+# of retries.
+FREE_DECLINES = 3
 # Waits between looks for an owner, while a slot moves.
 FIRST_PAUSE_S = 0.01
 LONGEST_PAUSE_S = 0.1
@@ -194,6 +197,9 @@
             # Following a moved slot costs the targets nothing; it is bound
             # by the pauses, the attempts and the deadline.
             return True
+        if self._count <= FREE_DECLINES and not self._reached:
+            # Nothing has reached a target yet, so the attempt adds no work.
+            return True
         return await self._ports.chooser.ask(choosing.TakeRetry())
 
     async def _choose(self):
--- a/sesamejunction/decisions/leasing.py
+++ b/sesamejunction/decisions/leasing.py
@@ -127,6 +127,14 @@
         """Return the ranges that the plan gives to the present life."""
         return [one for one in self._plan.ranges if one.owner == self.life]
 
+    def list_waiting(self, now: float):
+        """Return the owned ranges that are not granted yet, and since when."""
+        return tuple(
+            (one, self._seen.get(one.epoch, now))
+            for one in self.list_owned()
+            if not self._is_settled(one, now)
+        )
+
     def list_claims(self, now: float) -> list[leasing.AskRelease]:
         """Return the releases that owned ranges still wait for."""
         return [
--- a/sesamejunction/decisions/routing.py
+++ b/sesamejunction/decisions/routing.py
@@ -3,6 +3,8 @@
 from sesamejunction.model import routing
 from sesamejunction.model import state
 
+FIRST_RANK = 0
+
 
 def find_route(
     current: state.State, host: str, path: str
@@ -28,6 +30,9 @@
 
 def find_rank(current: state.State, route, organisation: str) -> int:
     """Return the rank of a request; an organisation's goes first."""
+    if route.is_open and not organisation:
+        # Part of a request that runs already: its work would be lost.
+        return FIRST_RANK
     found = current.organisations.get(organisation)
     if found is not None and found.rank is not None:
         return found.rank
--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -14,6 +14,9 @@
 SHORTEST_RETRY_S = 0.05
 # A request starts only if this part of its usual service time is left.
 START_PART = 0.5
+# Work takes longer while a target is full, so waits are longer than the
+# average time tells.
+WAIT_FACTOR = 1.25
 COLD_WINDOW_S = 1.0
 
 
@@ -137,4 +140,4 @@
 
 def expect_wait(ahead: int, slots: int, mean_s: float) -> float:
     """Return the seconds until a request with this many ahead starts."""
-    return (ahead + 1) * mean_s / max(1, slots)
+    return (ahead + 1) * mean_s / max(1, slots) * WAIT_FACTOR
--- a/sesamejunction/model/requests.py
+++ b/sesamejunction/model/requests.py
@@ -24,6 +24,7 @@
     NOT_OWNER = 'not-owner'
     NO_TARGET = 'no-target'
     NO_LEASE = 'no-lease'
+    MOVING = 'moving'
     STOPPING = 'stopping'
     ZONE_OUT = 'zone-out'
     DEADLINE = 'deadline'
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -20,6 +20,8 @@
 # Least time between two questions for the same release.
 CLAIM_S = 0.1
 TICK_S = 0.1
+# Planned moves of keys are done in this time.
+MOVE_S = 0.6
 # A target whose hold has run out and that was not heard since has lost its
 # keys; so long after the end of the hold the node says so.
 SILENT_TARGET_S = deciding.HOLD_S + 0.3
@@ -33,6 +35,18 @@
     def __init__(self):
         self.rows = ()
         self.until = float('-inf')
+        self.waiting = ()
+
+    def is_delayed(self, key: int, now: float) -> bool:
+        """Return whether the key is owned here but not soon granted.
+
+        A planned move takes less than MOVE_S; a longer one waits for the
+        hold of a former owner that does not answer.
+        """
+        return any(
+            one.first <= key <= one.last and now - since > MOVE_S
+            for one, since in self.waiting
+        )
 
     def holds(self, key: int, now: float) -> bool:
         """Return whether the target may run work on the key."""
@@ -139,6 +153,7 @@
             self._answer_if_news(now)
         self._ask_claims(now)
         self._serve_claimants(now)
+        self.holdings.waiting = self._lease.list_waiting(now)
         heard = self._lease.heard_at
         if (
             (self._lease.life is not None or not self._registered_target)
