Planner: only members with the log; forget nodes that are gone

Members tell whether the log answers them; those registered before a start count as silent after 0.6 s; silent ones without keys are dropped after 20 s.

--- a/sesamejunction/border/logs.py
+++ b/sesamejunction/border/logs.py
@@ -55,13 +55,14 @@
     def __init__(self, limit: int = LINES_A_SECOND, clock=time.monotonic):
         self._limit = limit
         self._clock = clock
+        self._write = eliot.log_message
         self._second = None
         self._lines = collections.Counter()
 
-    def log(self, message_type: str, **fields) -> None:
+    def log_message(self, message_type: str, **fields) -> None:
         """Write a line, or only count it when there were too many."""
         if self._allow(message_type):
-            eliot.log_message(message_type, **fields)
+            self._write(message_type, **fields)
 
     def _allow(self, message_type: str) -> bool:
         second = int(self._clock())
--- a/sesamejunction/border/packets.py
+++ b/sesamejunction/border/packets.py
@@ -108,6 +108,7 @@
     sent_at: float
     topics: tuple[tuple[int, int], ...]
     heard: tuple[tuple[int, int], ...]
+    has_log: bool = True
 
 
 BODIES = (
@@ -263,6 +264,7 @@
                 sent_at,
                 encode_topics(topics),
                 tuple((one, encode_age(age)) for one, age in heard),
+                message.has_log,
             )
 
 
@@ -315,10 +317,11 @@
             )
         case WireProbe(sent_at, topics):
             return messages.Probe(sender, sent_at, decode_topics(topics))
-        case WireEcho(sent_at, topics, heard):
+        case WireEcho(sent_at, topics, heard, has_log):
             return messages.Echo(
                 sender,
                 sent_at,
                 decode_topics(topics),
                 tuple((one, decode_age(age_ms)) for one, age_ms in heard),
+                has_log,
             )
--- a/sesamejunction/border/registrycodec.py
+++ b/sesamejunction/border/registrycodec.py
@@ -21,7 +21,7 @@
 def name_record(record: registry.Record) -> str:
     """Return the key under which a record is kept."""
     match record:
-        case registry.MemberRecord(name=name):
+        case registry.MemberRecord(name=name) | registry.MemberGone(name=name):
             return f'member/{name}'
         case registry.PlanRecord(service=service):
             return f'plan/{service}'
@@ -32,7 +32,9 @@
 
 
 def encode_record(record: registry.Record) -> bytes:
-    """Return the value that is kept for a record."""
+    """Return the value that is kept for a record, nothing to drop it."""
+    if isinstance(record, registry.MemberGone):
+        return b''
     return ENCODER.encode(record)
 
 
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -148,7 +148,7 @@
 
 
 def _explain_lost(ports, head, reason) -> requests.Refusal:
-    ports.lines.log(
+    ports.lines.log_message(
         'gate: answer lost',
         request=head.request_id,
         service=head.service,
--- a/sesamejunction/model/messages.py
+++ b/sesamejunction/model/messages.py
@@ -145,13 +145,15 @@
     """Answers a Probe.
 
     ``topics`` are in the order of the fleet's agreement: declarations, then
-    the fleet's own. ``heard`` tells how long ago the member heard of others.
+    the fleet's own. ``heard`` tells how long ago the member heard of others,
+    ``has_log`` whether the log answers it.
     """
 
     member: int
     sent_at: float
     topics: tuple[TopicAge, ...]
     heard: tuple[tuple[int, float], ...] = ()
+    has_log: bool = True
 
 
 Message = (
--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -43,7 +43,16 @@
     secret: str
 
 
-Record = MemberRecord | PlanRecord | state.Allocators | SecretRecord
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberGone:
+    """Drops the registration of a node that no longer runs."""
+
+    name: str
+
+
+Record = (
+    MemberRecord | PlanRecord | state.Allocators | SecretRecord | MemberGone
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,9 +145,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Register:
-    """Asks the registrar to make a record the newest of its key."""
+    """Asks the registrar to make a record the newest of its key.
+
+    ``again`` tells that an earlier one was dropped.
+    """
 
     record: MemberRecord
+    again: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/tasks/audit.py
+++ b/sesamejunction/tasks/audit.py
@@ -26,7 +26,7 @@
         code = getattr(outcome, 'code', None)
         self._count(kind, code.value if code else '', taken_s)
         now = clock.read_boot_clock()
-        self._lines.log(
+        self._lines.log_message(
             'caller: request failed',
             request=head.request_id,
             route=head.route,
@@ -44,7 +44,7 @@
         self._metrics.requests.inc(
             {'outcome': 'refused', 'reason': f'status {refused.status}'}
         )
-        self._lines.log(
+        self._lines.log_message(
             'caller: request refused',
             request=request_id,
             status=refused.status,
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -151,12 +151,12 @@
         if connected == self._connected:
             return
         self._connected = connected
-        eliot.log_message(
-            'journal: contact regained'
-            if connected
-            else 'journal: contact lost',
-            topic=self._topic.name,
-            end=self.view.end,
-            age_s=round(clock.read_boot_clock() - self.view.as_of, 3),
-            reason=reason,
-        )
+        fields = {
+            'topic': self._topic.name,
+            'end': self.view.end,
+            'age_s': round(clock.read_boot_clock() - self.view.as_of, 3),
+        }
+        if connected:
+            eliot.log_message('journal: contact regained', **fields)
+        else:
+            eliot.log_message('journal: contact lost', reason=reason, **fields)
--- a/sesamejunction/tasks/presence.py
+++ b/sesamejunction/tasks/presence.py
@@ -21,6 +21,8 @@
 # A member that nobody has heard of for this time counts as silent: three
 # rounds of probes, so that a lost datagram or a short pause does not count.
 SILENT_S = 1.5
+# A member that is there answers the first probe in this time.
+FIRST_ECHO_S = 0.6
 # Longer ages tell nothing new.
 OLDEST_HEARD_S = 10.0
 
@@ -31,6 +33,7 @@
     def __init__(self):
         self.heard = {}
         self.silent = frozenset()
+        self.without_log = set()
 
     def count_heard(self) -> int:
         """Return how many members were heard of lately."""
@@ -80,6 +83,7 @@
     async def tick(self) -> None:
         """Probe some members and publish the silent ones."""
         now = clock.read_boot_clock()
+        self._note_log(self._incarnation, self._has_log)
         peers = [
             one for one in self._state.members if one != self._incarnation
         ]
@@ -92,8 +96,11 @@
         now = clock.read_boot_clock()
         self._state = current
         members = current.members
-        # A new member counts as heard of when it registers.
-        self._joined = {one: self._joined.get(one, now) for one in members}
+        # A new member counts as heard of when it registers. Those that were
+        # registered when this process started may be gone since long.
+        joined = now if self._joined else now - SILENT_S + FIRST_ECHO_S
+        self._view.without_log &= members.keys()
+        self._joined = {one: self._joined.get(one, joined) for one in members}
         for gone in self._view.heard.keys() - members.keys():
             del self._view.heard[gone]
 
@@ -108,16 +115,29 @@
             return
         for one in silent ^ self._view.silent:
             member = self._state.members.get(one)
-            eliot.log_message(
-                'peer: silent' if one in silent else 'peer: heard again',
-                member=member and member.name,
-                incarnation=one,
-                age_s=round(now - self._view.heard.get(one, 0.0), 2),
-            )
+            fields = {
+                'member': member and member.name,
+                'incarnation': one,
+                'age_s': round(now - self._view.heard.get(one, 0.0), 2),
+            }
+            if one in silent:
+                eliot.log_message('peer: silent', **fields)
+            else:
+                eliot.log_message('peer: heard again', **fields)
         self._view.silent = silent
         for one in self._subscribers:
             one.publish(owning.MembersSilent(silent))
 
+    @property
+    def _has_log(self) -> bool:
+        return all(one.is_connected for one in self._followers)
+
+    def _note_log(self, member, has_log) -> None:
+        if has_log:
+            self._view.without_log.discard(member)
+        else:
+            self._view.without_log.add(member)
+
     def _note_heard(self, member, at) -> None:
         if at > self._view.heard.get(member, float('-inf')):
             self._view.heard[member] = at
@@ -144,12 +164,14 @@
             probe.sent_at,
             self._list_topics(now),
             tuple(heard),
+            self._has_log,
         )
 
     def _take_echo(self, echo) -> None:
         # All ages count from the sending of the probe, which was before the
         # member wrote them.
         self._note_heard(echo.member, echo.sent_at)
+        self._note_log(echo.member, echo.has_log)
         for one, age in echo.heard:
             if one in self._state.members:
                 self._note_heard(one, echo.sent_at - age)
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -22,6 +22,9 @@
 NODE_RESTART_S = 3.0
 # A planner that hears less than half of the members may itself be cut off.
 CUT_OFF_S = 8.0
+# A node that was silent for so long is dropped; it registers again if it
+# comes back.
+FORGET_S = 20.0
 ALLOCATORS = 4
 # Loads are asked for this often; after a move the counts need some time.
 LOAD_S = 0.5
@@ -114,13 +117,11 @@
         self._seen = {one: self._seen.get(one, now) for one in epochs}
 
     def _is_planner(self) -> bool:
-        silent = self._presence.silent
+        able = self._state.members.keys() - self._presence.silent
+        # A member that the log turns away cannot append.
+        able -= self._presence.without_log
         return self._member == min(
-            (
-                one.name
-                for one in self._state.members.values()
-                if one.incarnation not in silent
-            ),
+            (self._state.members[one].name for one in able),
             default=None,
         )
 
@@ -148,7 +149,26 @@
                 record = self._plan_service(service.name, gone, now)
                 if record is not None:
                     return record
-        return self._plan_allocators(gone, now)
+        return self._plan_allocators(gone, now) or self._forget(now)
+
+    def _forget(self, now):
+        """Return the record that drops a node which is gone for good."""
+        members = self._state.members
+        owners = {
+            one.owner.member
+            for plan in self._state.ranges.values()
+            for one in plan.ranges
+        }
+        for one, since in self._silent_since.items():
+            member = members.get(one)
+            if (
+                member is not None
+                and now - since > FORGET_S
+                and member.name not in owners
+            ):
+                eliot.log_message('plan: member forgotten', name=member.name)
+                return registry.MemberGone(member.name)
+        return None
 
     def _plan_service(self, service, gone, now):
         current = self._state
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -112,8 +112,10 @@
     async def handle(self, message):
         """Handle one message."""
         match message:
-            case registry.Register(record=record):
+            case registry.Register(record=record, again=again):
                 self._wanted = record
+                if again:
+                    self._written = None
                 await self._write()
             case registry.Propose(record=record, end=end):
                 return await self._propose(record, end)
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -215,7 +215,7 @@
         if found is not None and finished.latency_s is not None:
             self._times.record(found[0].route, finished.latency_s)
         if finished.shed:
-            self._lines.log(
+            self._lines.log_message(
                 'gate: target refused work',
                 request=finished.request_id,
                 running=len(self._running),
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -114,6 +114,7 @@
         self._registered = None
         self._registered_target = False
         self._inherited = None
+        self._was_member = False
         self.holdings = HoldingsView()
         self.subscribers = ()
         self.standing = None
@@ -346,6 +347,7 @@
         before, self._state = self._state, current
         if self._inherited is None and current.offset > 0:
             self._inherit(current)
+        self._note_membership(current)
         service = self._identity.service
         plan = current.ranges.get(service)
         if plan is not None and plan != before.ranges.get(service):
@@ -366,6 +368,15 @@
             self._ask_claims(now)
             self._serve_claimants(now)
 
+    def _note_membership(self, current) -> None:
+        """Register again after others have taken this node for gone."""
+        is_member = self._identity.incarnation in current.members
+        if self._was_member and not is_member:
+            self._registrar.tell(
+                registry.Register(self._registered, again=True)
+            )
+        self._was_member = is_member
+
     def _inherit(self, current) -> None:
         """Register this process, with what is known of the target."""
         self._inherited = next(
--- a/test/test_journey.py
+++ b/test/test_journey.py
@@ -210,14 +210,24 @@
 
 
 # Guards against open attempts that the chooser counts down but never counted
-# up, as those at an owner: keyed, repeatable, attempts reported.
+# up, as those at an owner: keyed, repeatable, idempotency key, attempts
+# reported. What runs once without a key may run anywhere.
 @pytest.mark.parametrize(
-    ('keyed', 'repeatable', 'reported'),
-    [(False, True, 1), (False, False, 0), (True, True, 0)],
+    ('keyed', 'repeatable', 'once_key', 'reported'),
+    [
+        (False, True, None, 1),
+        (False, False, 'once', 0),
+        (False, False, None, 1),
+        (True, True, None, 0),
+    ],
 )
-async def test_chooser_hears_of_its_own_choices(keyed, repeatable, reported):
+async def test_chooser_hears_of_its_own_choices(
+    keyed, repeatable, once_key, reported
+):
     ports = make_ports(chooser=Chooser([2]), peers=Wire(answer()))
-    head = dataclasses.replace(HEAD, repeatable=repeatable)
+    head = dataclasses.replace(
+        HEAD, repeatable=repeatable, idempotency_key=once_key
+    )
     assert await route(ports, head, keyed=keyed) == 'answer'
     assert len(ports.chooser.told) == reported
 
