--- a/sesamejunction/decisions/rangeplanning.py
+++ b/sesamejunction/decisions/rangeplanning.py
@@ -251,6 +251,20 @@
     return tuple(result)
 
 
+def settle(owned, is_fresh) -> tuple:
+    """Return ranges or places without former owners that are done with.
+
+    Otherwise a later planner, which does not know how old a move is, would
+    have the next owner wait for them again.
+    """
+    return tuple(
+        dataclasses.replace(one, previous=())
+        if one.previous and not is_fresh(one)
+        else one
+        for one in owned
+    )
+
+
 def compact_ranges(
     owned: tuple[ranges.Range, ...], epoch: int, is_fresh
 ) -> tuple[ranges.Range, ...]:
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -191,6 +191,7 @@
             )
             if planned == plan.ranges:
                 planned = self._balance(service, planned, lives, epoch, now)
+                planned = rangeplanning.settle(planned, self._is_fresh)
             planned = rangeplanning.join_ranges(planned)
             if planned == plan.ranges:
                 return None
@@ -286,8 +287,14 @@
             self._state.offset + 1,
             self._is_fresh,
         )
-        if chosen is None or chosen == present:
+        if chosen is None:
             return None
+        if chosen == present:
+            chosen = state.Allocators(
+                rangeplanning.settle(present.places, self._is_fresh)
+            )
+            if chosen == present:
+                return None
         eliot.log_message(
             'plan: allocators change',
             places=[(one.name, one.epoch) for one in chosen.places],
--- a/test/test_rangeplanning.py
+++ b/test/test_rangeplanning.py
@@ -4,6 +4,7 @@
 
 from sesamejunction.decisions import rangeplanning
 from sesamejunction.model import ranges
+from sesamejunction.model import state
 
 LIVES = [
     ranges.Life(f'node-{one}', f'target-{one}', 1000 + one) for one in range(5)
@@ -166,6 +167,15 @@
     assert fresh == moved
 
 
+@pytest.mark.parametrize('fresh', [True, False])
+def test_former_owners_are_dropped_once_they_are_done(fresh):
+    """A planner that starts later cannot tell how old a move is."""
+    one = ranges.Range(0, 9, 5, LIVES[1], (LIVES[0],))
+    (after,) = rangeplanning.settle((one,), lambda _: fresh)
+    assert after.previous == ((LIVES[0],) if fresh else ())
+    assert after.epoch == one.epoch
+
+
 def test_keys_that_move_are_not_joined_as_settled():
     """A joined range waits for nobody, so its keys must be settled.
 
@@ -182,3 +192,42 @@
     for one in packed:
         if one.first in (100, 101):
             assert one.previous == (LIVES[0],)
+
+
+def make_member(name, incarnation):
+    return state.Member(incarnation, name, 'z', 'h', 1, 1, 1, 's', 4, 4, True)
+
+
+MEMBERS = [make_member(f'node-{one}', 10 + one) for one in range(3)]
+PRESENT = state.Allocators(
+    (
+        state.AllocatorPlace(10, 'node-0', 4),
+        state.AllocatorPlace(11, 'node-1', 4),
+    )
+)
+ALLOCATIONS = {
+    'first': (MEMBERS, None, [(10, 9, ()), (11, 9, ())]),
+    'nothing lost': (MEMBERS, PRESENT, [(10, 4, ()), (11, 4, ())]),
+    'one lost': (MEMBERS[1:], PRESENT, [(12, 9, (10,)), (11, 4, ())]),
+    'one restarted': (
+        [make_member('node-0', 20), *MEMBERS[1:]],
+        PRESENT,
+        [(20, 9, (10,)), (11, 4, ())],
+    ),
+    'one left': (MEMBERS[2:], PRESENT, [(12, 9, (10,)), (12, 9, (11,))]),
+}
+
+
+@pytest.mark.parametrize(
+    ('members', 'present', 'expected'),
+    ALLOCATIONS.values(),
+    ids=ALLOCATIONS,
+)
+def test_allocators_keep_their_places(members, present, expected):
+    """A change of one must not begin the pools of the others anew."""
+    chosen = rangeplanning.choose_allocators(
+        members, present, 2, 9, lambda one: False
+    )
+    assert [
+        (one.member, one.epoch, one.previous) for one in chosen.places
+    ] == expected
