--- a/sesamejunction/border/logs.py
+++ b/sesamejunction/border/logs.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import os
 import sys
 import time
 
@@ -81,23 +82,48 @@
 
 
 class DroppingStream:
-    """Text stream that drops lines while its reader does not read.
+    """Writes lines to a descriptor and drops them while nobody reads.
 
-    A file descriptor that would block costs lines, not time.
+    The descriptor must not block. A line that was begun is finished before
+    the next one, so a reader sees whole lines only.
     """
 
-    def __init__(self, write, flush=lambda: None):
-        self._write = write
-        self._flush = flush
+    def __init__(self, descriptor: int):
+        self._descriptor = descriptor
+        self._rest = b''
         self.dropped = 0
 
-    def write(self, text: str) -> None:
+    def write(self, data: bytes) -> None:
         """Write a line or drop it."""
-        try:
-            self._write(text)
-        except BlockingIOError:
+        if not data:
+            return
+        self._write_rest()
+        if self._rest:
+            self.dropped += 1
+            return
+        self._rest = data
+        self._write_rest()
+        if self._rest == data:
+            # Nothing of it was taken.
+            self._rest = b''
             self.dropped += 1
 
     def flush(self) -> None:
         """Do nothing; each line is written at once."""
-        self._flush()
+
+    def _write_rest(self) -> None:
+        while self._rest:
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return
+            self._rest = self._rest[written:]
+
+
+def start_dropping_logs(name: str) -> DroppingStream:
+    """Write messages to standard output without ever waiting for it."""
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+    stream = DroppingStream(descriptor)
+    start_logging(name, stream)
+    return stream
--- a/sesamejunction/tasks/audit.py
+++ b/sesamejunction/tasks/audit.py
@@ -6,10 +6,15 @@
 
 
 class Audit:
-    """Takes the outcome of each request of this node's callers."""
+    """Takes the outcome of each request of this node's callers.
 
-    def __init__(self, metrics):
+    ``describe`` returns what the node believes about a request's owner and
+    declarations, with versions and ages.
+    """
+
+    def __init__(self, metrics, describe):
         self._metrics = metrics
+        self._describe = describe
         self._lines = logs.LineLimit()
 
     def count(self, head: requests.Head, outcome, taken_s: float) -> None:
@@ -37,6 +42,7 @@
             reason=reason,
             taken_s=round(taken_s, 3),
             left_s=round(head.deadline - now, 3),
+            **self._describe(head),
         )
 
     def count_refused(self, request_id: str, refused) -> None:
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -8,6 +8,7 @@
 import eliot
 
 from sesamejunction.border import framing
+from sesamejunction.border import logs
 from sesamejunction.commands import wholes
 from sesamejunction import errors
 from sesamejunction.model import leasing
@@ -133,6 +134,7 @@
         self._incarnation = incarnation
         self._host = host
         self._links = {}
+        self._lines = logs.LineLimit()
         self._connecting = {}
         self.secret = b''
         self.host_request = None
@@ -154,6 +156,20 @@
         Raises PeerUnavailable when nothing was sent and PeerLost when the
         reply is missing.
         """
+        try:
+            return await self._send(candidate, head, upload)
+        except errors.PeerUnavailable as error:
+            self._lines.log_message(
+                'peer: attempt failed',
+                request=head.request_id,
+                member=candidate.member.name,
+                service=head.service,
+                left_s=round(head.deadline - clock.read_boot_clock(), 3),
+                reason=str(error),
+            )
+            raise
+
+    async def _send(self, candidate, head, upload):
         body = await wholes.read_upload(upload)
         if candidate.member.incarnation == self._incarnation:
             return await self.host_request(head, body)
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -150,6 +150,17 @@
             wait_s = max(wait_s, ahead / cold)
         needed = wait_s + self._times.expect(entrant.route)
         if now + needed > entrant.deadline:
+            self._lines.log_message(
+                'gate: request refused',
+                request=entrant.request_id,
+                rank=entrant.rank,
+                ahead=ahead,
+                running=len(self._running),
+                slots=self._standing.slots,
+                cold=bool(cold),
+                needed_s=round(needed, 3),
+                left_s=round(entrant.deadline - now, 3),
+            )
             return refuse(
                 requests.Code.OVERLOADED,
                 'the wait would pass the deadline; retry later',
--- a/sesamejunction/ui/ctl.py
+++ b/sesamejunction/ui/ctl.py
@@ -1,7 +1,9 @@
 """Operator's tool: tickets, status, dumps, drains and zones."""
 
+import contextlib
 import getpass
 import hashlib
+import itertools
 import sys
 import time
 
@@ -15,6 +17,7 @@
 from sesamejunction.model import records
 from sesamejunction.model import state
 from sesamejunction.model import ticketing
+from sesamejunction.queries import explain as queries_explain
 from sesamejunction.queries import status as queries
 from sesamejunction.ui import lines
 from sesamejunction.ui import session as sessions
@@ -278,7 +281,37 @@
     return int(text)
 
 
+def explain(request, files):
+    """Print what the logs of all nodes say about a request, in order.
+
+    Args:
+        request: The id that the caller sent.
+        files: Log files, separated by commas.
+    """
+    with contextlib.ExitStack() as stack:
+        try:
+            opened = [
+                stack.enter_context(open(one, errors='replace'))
+                for one in files.split(',')
+            ]
+        except OSError as error:
+            raise errors.UsageError(
+                f'{error.filename}: {error.strerror}; name readable log files'
+            ) from None
+        found = queries_explain.explain_request(
+            request, itertools.chain.from_iterable(opened)
+        )
+    if not found:
+        raise errors.UsageError(
+            f'no line names {request}; successful requests are not logged, '
+            f'and lines beyond the limit are dropped'
+        )
+    for one in found:
+        print(queries_explain.describe_message(one))
+
+
 COMMANDS = {
+    'explain': explain,
     'validate': validate,
     'diff': diff,
     'apply': apply,
--- a/sesamejunction/ui/hosted.py
+++ b/sesamejunction/ui/hosted.py
@@ -158,7 +158,7 @@
 def start(**flags) -> None:
     """Run the hosted node; settings are flags, variables or a file."""
     checked = hostedsettings.read_hosted_settings(flags)
-    logs.start_logging(checked.name)
+    logs.start_dropping_logs(checked.name)
     # libuv would otherwise use io_uring for files on newer kernels.
     os.environ['UV_USE_IO_URING'] = '0'
     uvloop.run(run_node(checked))
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -124,7 +124,7 @@
         self._lease_view = porting.LeaseView()
         self._lease_view.publish(owning.Lease(math.inf))
         self._metrics = hostedmetrics.HostedMetrics()
-        self._audit = audit.Audit(self._metrics)
+        self._audit = audit.Audit(self._metrics, self._describe)
 
     def _build_sharing(self, secret) -> None:
         self._datagrams = datagrams.Datagrams(
@@ -346,6 +346,27 @@
         load = self._scheduler.load
         return self.front.open + load.in_flight + load.queued
 
+    def _describe(self, head) -> dict:
+        """Return versions and ages of what decided about a request."""
+        now, current = clock.read_boot_clock(), self._states.current
+        found = {
+            'declared': current.declared_version,
+            'declared_age_s': round(now - self._declared.view.as_of, 2),
+        }
+        plan = current.ranges.get(head.service)
+        owned = plan and head.route_key and plan.find(int(head.route_key))
+        if owned:
+            silent = {
+                current.members[one].name
+                for one in self._presence_view.silent
+                if one in current.members
+            }
+            found['owner'] = owned.owner.member
+            found['owner_silent'] = owned.owner.member in silent
+            found['epoch'] = owned.epoch
+            found['plan_age_s'] = round(now - self._fleet.view.as_of, 2)
+        return found
+
     def _sample(self) -> None:
         """Set the gauges."""
         now, load = clock.read_boot_clock(), self._scheduler.load
--- a/test/test_ctl.py
+++ b/test/test_ctl.py
@@ -177,7 +177,12 @@
 def test_help(capsys, name):
     lines.run_command(ctl.COMMANDS, [*([name] if name else []), '--help'])
     printed = capsys.readouterr().out
-    assert '--log-url' in printed or name in (None, 'validate', 'hash-key')
+    assert '--log-url' in printed or name in (
+        None,
+        'validate',
+        'hash-key',
+        'explain',
+    )
     assert 'SYNOPSIS' in printed
 
 
