--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -31,6 +31,7 @@
     holdings: object
     target: object
     lines: object
+    metrics: object
     clock: object
     misses: int = 0
 
@@ -41,8 +42,12 @@
     """Run a request here; returns the target's whole answer or a Refusal."""
     refusal = find_refusal(ports, head)
     if refusal is None:
-        return await _run_in_place(ports, head, body)
-    return dataclasses.replace(refusal, load=ports.scheduler.load)
+        reply = await _run_in_place(ports, head, body)
+    else:
+        reply = dataclasses.replace(refusal, load=ports.scheduler.load)
+    code = reply.code.value if isinstance(reply, requests.Refusal) else ''
+    ports.metrics.hosted.inc({'outcome': code or 'answered'})
+    return reply
 
 
 def find_refusal(ports: Ports, head) -> requests.Refusal | None:
@@ -87,7 +92,8 @@
     """Wait for a place at the target; returns why there is none, or None."""
     # Later than this it would start only to be given up half-way.
     least_s = ports.scheduler.expect_time(head.route) * START_PART
-    left_s = head.deadline - least_s - ports.clock()
+    started = ports.clock()
+    left_s = head.deadline - least_s - started
     try:
         async with asyncio.timeout(max(0.0, left_s)):
             reply = await ports.scheduler.ask(gating.Admit(head))
@@ -99,6 +105,7 @@
         )
     except (errors.InboxFull, errors.TaskStopped) as error:
         return refuse(requests.Code.OVERLOADED, str(error), retry_after_s=1.0)
+    ports.metrics.observe('queue_seconds', ports.clock() - started)
     return reply if isinstance(reply, requests.Refusal) else None
 
 
@@ -136,6 +143,7 @@
         outcome.shed = reply.code is requests.Code.SHED
         return dataclasses.replace(reply, load=ports.scheduler.load)
     outcome.taken_s = ports.clock() - started
+    ports.metrics.observe('target_seconds', outcome.taken_s)
     return dataclasses.replace(reply, load=ports.scheduler.load)
 
 
--- a/sesamejunction/platform/store.py
+++ b/sesamejunction/platform/store.py
@@ -43,10 +43,14 @@
 
 
 class Store(contextlib.AsyncExitStack):
-    """Owns the connections to the store."""
+    """Owns the connections to the store.
 
-    def __init__(self, address: str):
+    ``count`` is called with the outcome of each call.
+    """
+
+    def __init__(self, address: str, count):
         super().__init__()
+        self._count = count
         self._base = f'http://{address}'
         self._session = None
 
@@ -86,8 +90,11 @@
                     total=limit_s, sock_connect=CONNECT_S
                 ),
             ) as reply:
-                return reply.status, await reply.read()
+                body = await reply.read()
+                self._count(str(reply.status))
+                return reply.status, body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self._count('lost')
             raise errors.AppendUnknown(
                 f'no answer from the store to {path} ({error!r}); check its '
                 f'address and the network'
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -130,7 +130,8 @@
     ``serve`` handles work for this node itself, without a connection.
     """
 
-    def __init__(self, incarnation: int, host: str):
+    def __init__(self, incarnation: int, host: str, metrics):
+        self._metrics = metrics
         self._incarnation = incarnation
         self._host = host
         self._links = {}
@@ -193,6 +194,8 @@
             raise
         finally:
             link.end_exchange(number)
+        taken_s = clock.read_boot_clock() - now
+        self._metrics.observe('hop_seconds', taken_s)
         return decode_reply(frame)
 
     async def ask(self, member, message):
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -90,12 +90,15 @@
     name = 'target lease'
     tick_s = TICK_S
 
-    def __init__(self, identity: Identity, position, registrar, links):
+    def __init__(
+        self, identity: Identity, position, registrar, links, metrics
+    ):
         super().__init__()
         self._identity = identity
         self._position = position
         self._registrar = registrar
         self._links = links
+        self._metrics = metrics
         self._state = state.State()
         self._lease = deciding.Lease(identity.name, clock.read_boot_clock())
         self._heartbeat = None
@@ -232,6 +235,7 @@
         before = self._lease.granted_rows
         probe = self._lease.renew(self._position.as_of, now)
         if probe.rows is not None and probe.rows != before:
+            self._metrics.key_moves.inc({})
             eliot.log_message(
                 'owner: keys granted',
                 life=self._lease.life,
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -62,20 +62,25 @@
         self._stack: contextlib.AsyncExitStack = stack
         self._stopping = False
         self._fetching = set()
+        self._metrics = hostedmetrics.HostedMetrics()
 
     async def build(self, group) -> None:
         """Build and start all tasks; waits for the platform's store."""
         enter = self._stack.enter_async_context
         checked = self._settings
-        operator_store = await enter(store.Store(checked.log))
-        fleet_store = await enter(store.Store(checked.log))
-        write_store = await enter(store.Store(checked.log))
+        operator_store = await enter(
+            store.Store(checked.log, self._count_call)
+        )
+        fleet_store = await enter(store.Store(checked.log, self._count_call))
+        write_store = await enter(store.Store(checked.log, self._count_call))
         self._operator_topic = store.Topic(
             operator_store, store.OPERATOR_TOPIC
         )
         self._fleet_topic = store.Topic(fleet_store, store.FLEET_TOPIC)
         secret = await self._find_secret()
-        self._links = await enter(links.Links(self._incarnation, self._host))
+        self._links = await enter(
+            links.Links(self._incarnation, self._host, self._metrics)
+        )
         self._links.secret = secret
         self._build_views()
         self._build_sharing(secret)
@@ -98,6 +103,9 @@
         address = self._settings.parse('target')
         return address.host, address.port
 
+    def _count_call(self, outcome: str) -> None:
+        self._metrics.log_calls.inc({'outcome': outcome})
+
     async def _find_secret(self) -> bytes:
         """Return the fleet's secret; the first node makes one."""
         while True:
@@ -123,7 +131,6 @@
         self._presence_view = presence.PresenceView()
         self._lease_view = porting.LeaseView()
         self._lease_view.publish(owning.Lease(math.inf))
-        self._metrics = hostedmetrics.HostedMetrics()
         self._audit = audit.Audit(self._metrics, self._describe)
 
     def _build_sharing(self, secret) -> None:
@@ -170,6 +177,7 @@
             self._fleet.view,
             registering,
             self._links,
+            self._metrics,
         )
         self._scheduler = scheduler.Scheduler(
             checked.target_service, self._lease.holdings
@@ -226,6 +234,7 @@
                 self._connections, self._find_target, clock.read_boot_clock
             ),
             logs.LineLimit(),
+            self._metrics,
             clock.read_boot_clock,
         )
 
--- a/test/test_hosting.py
+++ b/test/test_hosting.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesamejunction.border import hostedmetrics
 from sesamejunction.border import logs
 from sesamejunction.commands import hosting
 from sesamejunction.commands import ports as porting
@@ -72,7 +73,7 @@
     scheduler = FakeScheduler(reply, wait_s)
     ports = hosting.Ports(
         porting.StateView(), scheduler, scheduler, None, target,
-        logs.LineLimit(), time.monotonic,
+        logs.LineLimit(), hostedmetrics.HostedMetrics(), time.monotonic,
     )  # fmt: skip
     outcome = await hosting.host_request(ports, make_head(), b'')
     return outcome, scheduler
