--- /dev/null
+++ b/sesamejunction/border/linkcodec.py
@@ -0,0 +1,116 @@
+"""Turns requests, replies and questions into frames and back."""
+
+from sesamejunction.commands import wholes
+from sesamejunction import errors
+from sesamejunction.model import leasing
+from sesamejunction.model import linking
+from sesamejunction.model import registry
+from sesamejunction.model import requests
+
+# A node replies this long before the deadline of its asker, so that a refusal
+# still says that nothing ran.
+REPLY_MARGIN_S = 0.03
+
+
+def encode_work(number, head, body, now) -> linking.Work:
+    """Return the frame of a request."""
+    objective_ms = min(head.objective - now, 1e6) * 1000
+    left_s = head.deadline - now - REPLY_MARGIN_S
+    return linking.Work(
+        number,
+        head.request_id,
+        head.service,
+        head.method,
+        head.path,
+        head.route_key,
+        head.organisation,
+        max(1, int(left_s * 1000)),
+        int(objective_ms),
+        head.repeatable,
+        head.headers,
+        head.route,
+        head.rank,
+        head.caller_service,
+        body,
+    )
+
+
+def decode_work(frame: linking.Work, now: float) -> requests.Head:
+    """Return the head of a request; times on this node's boot clock."""
+    return requests.Head(
+        request_id=frame.request_id,
+        service=frame.service,
+        method=frame.method,
+        path=frame.path,
+        route_key=frame.route_key,
+        idempotency_key=None,
+        organisation=frame.organisation,
+        deadline=now + frame.left_ms / 1000,
+        repeatable=frame.repeatable,
+        headers=frame.headers,
+        route=frame.route,
+        rank=frame.rank,
+        objective=now + frame.objective_ms / 1000,
+        caller_service=frame.caller_service,
+    )
+
+
+async def encode_reply(number, reply):
+    """Return the frame of an answer or a refusal."""
+    load = reply.load
+    wire = load and (
+        load.in_flight,
+        load.queued,
+        load.limit,
+        load.latency_s,
+    )
+    match reply:
+        case requests.Answer():
+            body = await wholes.read_answer(reply)
+            return linking.Done(
+                number, reply.status, reply.headers, body, wire
+            )
+        case requests.Refusal():
+            return linking.Refused(
+                number,
+                reply.code.value,
+                reply.outcome.value,
+                reply.message,
+                reply.retry_after_s,
+                wire,
+            )
+
+
+def decode_reply(frame) -> requests.Answer | requests.Refusal:
+    """Return the answer or refusal; raises PeerLost for anything else."""
+    match frame:
+        case linking.Done():
+            return wholes.build_answer(
+                frame.status,
+                frame.headers,
+                frame.body,
+                frame.load and requests.Load(*frame.load),
+            )
+        case linking.Refused():
+            return requests.Refusal(
+                requests.Code(frame.code),
+                requests.Outcome(frame.outcome),
+                frame.message,
+                frame.retry_after_s,
+                load=frame.load and requests.Load(*frame.load),
+            )
+        case _:
+            raise errors.PeerLost('a peer answered another question')
+
+
+def encode_question(number, message):
+    """Return the frame of a task's question."""
+    match message:
+        case leasing.AskRelease():
+            return linking.Question(number, message)
+        case leasing.AskTerm():
+            return linking.TermQuestion(number, message)
+        case registry.GetCopy(topic=topic, end=end):
+            return linking.CopyQuestion(number, topic, end)
+        case leasing.AskLoad():
+            return linking.LoadQuestion(number)
--- a/sesamejunction/commands/ports.py
+++ b/sesamejunction/commands/ports.py
@@ -11,6 +11,9 @@
 from sesamejunction.model import requests
 from sesamejunction.model import state
 
+# Planned moves of keys are done in this time.
+MOVE_S = 0.6
+
 
 class Peers(typing.Protocol):
     """Forwards requests to other nodes."""
@@ -96,6 +99,32 @@
         self.current = message
 
 
+class HoldingsView:
+    """What the target was granted, for checks without a message."""
+
+    def __init__(self):
+        self.rows = ()
+        self.until = float('-inf')
+        self.waiting = ()
+
+    def is_delayed(self, key: int, now: float) -> bool:
+        """Return whether the key is owned here but not soon granted.
+
+        A planned move takes less than MOVE_S; a longer one waits for the
+        hold of a former owner that does not answer.
+        """
+        return any(
+            one.first <= key <= one.last and now - since > MOVE_S
+            for one, since in self.waiting
+        )
+
+    def holds(self, key: int, now: float) -> bool:
+        """Return whether the target may run work on the key."""
+        return now < self.until and any(
+            row.first <= key <= row.last for row in self.rows
+        )
+
+
 class KeyCounter(typing.Protocol):
     """Counts the keys that this node serves, to find the hot ones."""
 
--- a/sesamejunction/model/leasing.py
+++ b/sesamejunction/model/leasing.py
@@ -126,3 +126,16 @@
     cold_until: float
     leaving_since: float | None = None
     out_since: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopNode:
+    """Planned stop of this node; its target goes on."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseCame:
+    """The answer to a claim, None when there was none."""
+
+    claim: AskRelease
+    reply: Released | None
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -41,6 +41,7 @@
     def __init__(self, topic, subscribers, count_peers):
         super().__init__()
         self.name = f'follower {topic.name}'
+        self.topic_name = topic.name
         self._topic = topic
         self._subscribers = subscribers
         self._count_peers = count_peers
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -8,12 +8,11 @@
 import eliot
 
 from sesamejunction.border import framing
+from sesamejunction.border import linkcodec
 from sesamejunction.border import logs
 from sesamejunction.commands import wholes
 from sesamejunction import errors
-from sesamejunction.model import leasing
 from sesamejunction.model import linking
-from sesamejunction.model import registry
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
 
@@ -23,9 +22,6 @@
 SILENT_S = 0.4
 # Longest wait for the answer to a question of a task.
 ASK_S = 1.2
-# A node replies this long before the deadline of its asker, so that a refusal
-# still says that nothing ran.
-REPLY_MARGIN_S = 0.03
 # Bodies from this size use a connection of their own, so that they do not
 # hold up small frames on a slow line.
 BULK_BYTES = 16 * 1024
@@ -180,7 +176,7 @@
             candidate.member, len(body) >= BULK_BYTES, left_s
         )
         number, future = link.start_exchange(head.repeatable)
-        link.send_frame(encode_work(number, head, body, now))
+        link.send_frame(linkcodec.encode_work(number, head, body, now))
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 frame = await future
@@ -196,7 +192,7 @@
             link.end_exchange(number)
         taken_s = clock.read_boot_clock() - now
         self._metrics.observe('hop_seconds', taken_s)
-        return decode_reply(frame)
+        return linkcodec.decode_reply(frame)
 
     async def ask(self, member, message):
         """Return a member's answer; raises PeerUnavailable without one."""
@@ -204,7 +200,7 @@
             return await self.local(message)
         link = await self._connect(member, False, ASK_S)
         number, future = link.start_exchange()
-        link.send_frame(encode_question(number, message))
+        link.send_frame(linkcodec.encode_question(number, message))
         try:
             async with asyncio.timeout(ASK_S):
                 frame = await future
@@ -332,115 +328,11 @@
         task.add_done_callback(lambda _: self._running.pop(number, None))
 
     async def _work(self, frame) -> None:
-        head = decode_work(frame, clock.read_boot_clock())
+        head = linkcodec.decode_work(frame, clock.read_boot_clock())
         reply = await self._ports.host_request(head, frame.body)
-        self.send_frame(await encode_reply(frame.id, reply))
+        self.send_frame(await linkcodec.encode_reply(frame.id, reply))
 
     async def _answer(self, frame) -> None:
         reply = await self._ports.answer(frame)
         if reply is not None:
             self.send_frame(reply)
-
-
-def encode_work(number, head, body, now) -> linking.Work:
-    """Return the frame of a request."""
-    objective_ms = min(head.objective - now, 1e6) * 1000
-    left_s = head.deadline - now - REPLY_MARGIN_S
-    return linking.Work(
-        number,
-        head.request_id,
-        head.service,
-        head.method,
-        head.path,
-        head.route_key,
-        head.organisation,
-        max(1, int(left_s * 1000)),
-        int(objective_ms),
-        head.repeatable,
-        head.headers,
-        head.route,
-        head.rank,
-        head.caller_service,
-        body,
-    )
-
-
-def decode_work(frame: linking.Work, now: float) -> requests.Head:
-    """Return the head of a request; times on this node's boot clock."""
-    return requests.Head(
-        request_id=frame.request_id,
-        service=frame.service,
-        method=frame.method,
-        path=frame.path,
-        route_key=frame.route_key,
-        idempotency_key=None,
-        organisation=frame.organisation,
-        deadline=now + frame.left_ms / 1000,
-        repeatable=frame.repeatable,
-        headers=frame.headers,
-        route=frame.route,
-        rank=frame.rank,
-        objective=now + frame.objective_ms / 1000,
-        caller_service=frame.caller_service,
-    )
-
-
-async def encode_reply(number, reply):
-    """Return the frame of an answer or a refusal."""
-    load = reply.load
-    wire = load and (
-        load.in_flight,
-        load.queued,
-        load.limit,
-        load.latency_s,
-    )
-    match reply:
-        case requests.Answer():
-            body = await wholes.read_answer(reply)
-            return linking.Done(
-                number, reply.status, reply.headers, body, wire
-            )
-        case requests.Refusal():
-            return linking.Refused(
-                number,
-                reply.code.value,
-                reply.outcome.value,
-                reply.message,
-                reply.retry_after_s,
-                wire,
-            )
-
-
-def decode_reply(frame) -> requests.Answer | requests.Refusal:
-    """Return the answer or refusal; raises PeerLost for anything else."""
-    match frame:
-        case linking.Done():
-            return wholes.build_answer(
-                frame.status,
-                frame.headers,
-                frame.body,
-                frame.load and requests.Load(*frame.load),
-            )
-        case linking.Refused():
-            return requests.Refusal(
-                requests.Code(frame.code),
-                requests.Outcome(frame.outcome),
-                frame.message,
-                frame.retry_after_s,
-                load=frame.load and requests.Load(*frame.load),
-            )
-        case _:
-            raise errors.PeerLost('a peer answered another question')
-
-
-def encode_question(number, message):
-    """Return the frame of a task's question."""
-    match message:
-        case leasing.AskRelease():
-            return linking.Question(number, message)
-        case leasing.AskTerm():
-            return linking.TermQuestion(number, message)
-        case registry.GetCopy(topic=topic, end=end):
-            return linking.CopyQuestion(number, topic, end)
-        case leasing.AskLoad():
-            return linking.LoadQuestion(number)
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -5,6 +5,7 @@
 
 import eliot
 
+from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import leasing as deciding
 from sesamejunction import errors
 from sesamejunction.model import journaling
@@ -20,8 +21,6 @@
 # Least time between two questions for the same release.
 CLAIM_S = 0.1
 TICK_S = 0.1
-# Planned moves of keys are done in this time.
-MOVE_S = 0.6
 # A target whose hold has run out and that was not heard since has lost its
 # keys; so long after the end of the hold the node says so.
 SILENT_TARGET_S = deciding.HOLD_S + 0.3
@@ -29,32 +28,6 @@
 BACK_COLD_S = 1.0
 
 
-class HoldingsView:
-    """What the target was granted, for checks without a message."""
-
-    def __init__(self):
-        self.rows = ()
-        self.until = float('-inf')
-        self.waiting = ()
-
-    def is_delayed(self, key: int, now: float) -> bool:
-        """Return whether the key is owned here but not soon granted.
-
-        A planned move takes less than MOVE_S; a longer one waits for the
-        hold of a former owner that does not answer.
-        """
-        return any(
-            one.first <= key <= one.last and now - since > MOVE_S
-            for one, since in self.waiting
-        )
-
-    def holds(self, key: int, now: float) -> bool:
-        """Return whether the target may run work on the key."""
-        return now < self.until and any(
-            row.first <= key <= row.last for row in self.rows
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoTarget:
     """What a node knows of its target before anything was registered."""
@@ -118,7 +91,7 @@
         self._registered_target = False
         self._inherited = None
         self._was_member = False
-        self.holdings = HoldingsView()
+        self.holdings = porting.HoldingsView()
         self.subscribers = ()
         self.standing = None
 
@@ -136,10 +109,10 @@
                 self._end_target('its port refused a connection')
             case journaling.StateChanged(state=current):
                 self._take_state(current, now)
-            case StopNode():
+            case leasing.StopNode():
                 self._stopping = True
                 self._register()
-            case ReleaseCame(claim=claim, reply=reply):
+            case leasing.ReleaseCame(claim=claim, reply=reply):
                 self._asking.pop(claim, None)
                 if reply is not None and reply.released:
                     self._lease.take_release(claim, reply)
@@ -319,7 +292,7 @@
                     await asyncio.sleep(CLAIM_S)
         if reply is None or not reply.released:
             await asyncio.sleep(CLAIM_S)
-        self.give_back(ReleaseCame(claim, reply))
+        self.give_back(leasing.ReleaseCame(claim, reply))
 
     def _take_leave(self, target, now) -> None:
         if self._lease.life is None or self._lease.life.target != target:
@@ -437,16 +410,3 @@
             self.standing = standing
             for one in self.subscribers:
                 one.publish(standing)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopNode:
-    """Planned stop of this node; its target goes on."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReleaseCame:
-    """The answer to a claim, None when there was none."""
-
-    claim: leasing.AskRelease
-    reply: leasing.Released | None
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -18,7 +18,6 @@
 from sesamejunction.commands import ports as porting
 from sesamejunction import errors
 from sesamejunction.model import leasing
-from sesamejunction.model import linking
 from sesamejunction.model import messages
 from sesamejunction.model import operating
 from sesamejunction.model import owning
@@ -43,6 +42,7 @@
 from sesamejunction.tasks import shares
 from sesamejunction.tasks import targetlease
 from sesamejunction.tasks import terms
+from sesamejunction.ui import hostedanswers
 
 # Requests that may wait here while the owner of their key changes.
 MAX_WAITING = 256
@@ -242,7 +242,14 @@
             return await hosting.host_request(hosting_ports, head, body)
 
         self._links.host_request = host_request
-        self._links.local = self._answer_local
+        answers = hostedanswers.Answers(
+            self._lease,
+            self._terms,
+            self._scheduler,
+            (self._declared, self._fleet),
+        )
+        self._links.local = answers.answer_local
+        self._answer = answers.answer
         self._host_request = host_request
         ports = porting.Ports(
             incarnation=NO_INCARNATION,
@@ -277,7 +284,7 @@
             self._incarnation,
             self._links.secret,
             self._host_request,
-            self.answer,
+            self._answer,
         )
         listener = await loop.create_server(
             lambda: links.LinkServer(ports),
@@ -348,7 +355,7 @@
         """Begin a planned stop: callers and other nodes are told to leave."""
         self._stopping = True
         self.front.stopping = True
-        self._lease.tell(targetlease.StopNode())
+        self._lease.tell(leasing.StopNode())
 
     def count_open(self) -> int:
         """Return the requests that still run here."""
@@ -396,39 +403,3 @@
         for task in self._list_tasks():
             dumped = await task.ask(operating.GetDump())
             eliot.log_message('node: state dump', task=dumped)
-
-    async def _answer_local(self, message):
-        """Return this node's own answer to a question."""
-        match message:
-            case leasing.AskRelease():
-                return await self._lease.ask(message)
-            case leasing.AskTerm():
-                return await self._terms.ask(message)
-            case leasing.AskLoad():
-                return await self._scheduler.ask(message)
-
-    async def answer(self, frame):
-        """Return the reply to another node's question."""
-        try:
-            match frame:
-                case linking.Question(body=body):
-                    released = await self._lease.ask(body)
-                    return linking.ReleaseReply(frame.id, released)
-                case linking.TermQuestion(body=body):
-                    released = await self._terms.ask(body)
-                    return linking.ReleaseReply(frame.id, released)
-                case linking.LoadQuestion():
-                    report = await self._scheduler.ask(leasing.AskLoad())
-                    return linking.LoadReply(frame.id, report)
-                case linking.CopyQuestion(topic=topic):
-                    one = self._declared
-                    if topic == self._fleet_topic.name:
-                        one = self._fleet
-                    age = clock.read_boot_clock() - one.view.as_of
-                    copy = await one.ask(registry.GetCopy())
-                    return linking.CopyReply(frame.id, copy, age)
-                case _:
-                    return None
-        except errors.SesameError as error:
-            eliot.log_message('peer: question failed', reason=str(error))
-            return None
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -174,13 +174,21 @@
         return self
 
     async def _wait_until_all_hold(self):
-        """A server that registers late gets its part a moment later."""
+        """Wait until each server has its part and no move is under way.
+
+        A server that registers late gets its part a moment later.
+        """
         async with asyncio.timeout(READY_S):
-            while not all(
-                one.server.holds for one in self.machines if one.is_ranged
-            ):
+            while not self._is_settled():
                 await asyncio.sleep(0.05)
 
+    def _is_settled(self):
+        servers = [one.server for one in self.machines if one.is_ranged]
+        held = sum(
+            last - first + 1 for one in servers for first, last, _ in one.holds
+        )
+        return held == 65536 and all(one.holds for one in servers)
+
     async def __aexit__(self, *exc):
         return await self._stack.__aexit__(*exc)
 
