--- a/sesamejunction/ui/hosted.py
+++ b/sesamejunction/ui/hosted.py
@@ -12,6 +12,7 @@
 
 from sesamejunction.border import hostedsettings
 from sesamejunction.border import logs
+from sesamejunction import errors
 from sesamejunction.ui import hostedparts
 from sesamejunction.ui import lines
 
@@ -103,7 +104,7 @@
         before = self._settings
         try:
             after = hostedsettings.read_hosted_settings({})
-        except Exception as error:
+        except errors.SettingsError as error:
             eliot.log_message('node: settings refused', reason=str(error))
             return
         changed = sorted(
--- /dev/null
+++ b/test/test_platform.py
@@ -0,0 +1,322 @@
+"""Decoding of what the platform sends: tolerant, complete, never back."""
+
+import json
+
+import pydantic
+import pytest
+
+from sesamejunction.border import hostedsettings
+from sesamejunction.border import registrycodec
+from sesamejunction.decisions import registry as folding
+from sesamejunction.decisions import routing as deciding
+from sesamejunction import errors
+from sesamejunction.model import leasing
+from sesamejunction.model import ranges
+from sesamejunction.model import registry
+from sesamejunction.model import routing
+from sesamejunction.platform import config
+from sesamejunction.platform import control
+from sesamejunction.platform import store
+from sesamejunction.tasks import follower
+from sesamejunction.tasks import registrar
+
+CONFIG = {
+    'version': 7,
+    'unknown': [1, 2],
+    'routes': [
+        {
+            'name': 'wide',
+            'host': 'Shop.example',
+            'pathPrefix': '/a/',
+            'kind': 'idempotent',
+            'timeoutS': 0.5,
+            'targetLatencyS': 0.2,
+            'priority': 2,
+            'trafficSplit': [
+                {'service': 'new', 'weight': 90},
+                {'service': 'old', 'weight': 10},
+            ],
+            'maxAttempts': 2,
+        },
+        {
+            'name': 'narrow',
+            'host': 'shop.example',
+            'pathPrefix': '/a/b/',
+            'kind': 'upload',
+            'timeoutS': 1,
+            'targetLatencyS': 0.3,
+            'service': 'files',
+            'noAuth': True,
+        },
+    ],
+    'services': [{'name': 'new', 'sharded': True, 'coldPerS': 38.0}],
+    'tenants': [
+        {'name': 'one', 'apiKeys': ['k'], 'ratePerS': 5, 'priority': 0}
+    ],
+}
+
+
+def make_state(found=None):
+    declared = config.decode_config(json.dumps(found or CONFIG).encode())
+    return folding.fold_records((), declared, frozenset(), 1)
+
+
+ROUTES = {
+    'longest prefix': ('shop.example', '/a/b/c', 'narrow'),
+    'shorter prefix': ('shop.example', '/a/x', 'wide'),
+    'not in a segment': ('shop.example', '/ab/', None),
+    'other host': ('other.example', '/a/x', None),
+}
+
+
+@pytest.mark.parametrize(('host', 'path', 'name'), ROUTES.values(), ids=ROUTES)
+def test_longest_prefix_wins(host, path, name):
+    found = deciding.find_route(make_state(), host, path)
+    assert (found and found.name) == name
+
+
+@pytest.mark.parametrize(
+    ('point', 'service'),
+    [(0.0, 'new'), (0.89, 'new'), (0.91, 'old'), (0.999, 'old')],
+)
+def test_split_follows_the_weights(point, service):
+    route = deciding.find_route(make_state(), 'shop.example', '/a/x')
+    assert deciding.choose_part(route, point) == service
+
+
+def test_ranks_of_organisations_go_before_those_of_routes():
+    current = make_state()
+    wide = deciding.find_route(current, 'shop.example', '/a/x')
+    narrow = deciding.find_route(current, 'shop.example', '/a/b/')
+    assert deciding.find_rank(current, wide, 'one') == 0
+    assert deciding.find_rank(current, wide, 'other') == 2
+    assert deciding.find_rank(current, narrow, '') == deciding.FIRST_RANK
+    assert narrow.kind is routing.Kind.UPLOAD
+
+
+BAD = {
+    'cut short': json.dumps(CONFIG)[:-9],
+    'a list': '[]',
+    'no kind': json.dumps({**CONFIG, 'routes': [{'name': 'x', 'host': 'h'}]}),
+    'version of another type': json.dumps({**CONFIG, 'version': 'seven'}),
+}
+
+
+@pytest.mark.parametrize('text', BAD.values(), ids=BAD)
+def test_unreadable_declarations_leave_the_known_ones(text):
+    read = config.OperatorRecords()
+    good = registry.Copy(
+        1, {'config': registry.Item(0, json.dumps(CONFIG).encode())}
+    )
+    known, _ = read(good, None)
+    bad = registry.Copy(2, {'config': registry.Item(1, text.encode())})
+    after, _ = read(bad, known)
+    assert after is known
+
+
+class Subscriber:
+    """Keeps the states that are published."""
+
+    def __init__(self):
+        self.versions = []
+
+    def publish(self, message):
+        self.versions.append(message.state.declared_version)
+
+
+@pytest.mark.parametrize('later', [3, 6, 9])
+async def test_versions_never_go_back(later):
+    """The store may serve old reads or forget its history."""
+    subscriber = Subscriber()
+    one = registrar.Registry('fleet', config.OperatorRecords(), [subscriber])
+    for offset, version in enumerate((7, later)):
+        value = json.dumps({**CONFIG, 'version': version}).encode()
+        copy = registry.Copy(
+            offset + 1, {'config': registry.Item(offset, value)}
+        )
+        await one.handle(registry.TopicChanged('operator', copy))
+    assert subscriber.versions == [7, max(7, later)]
+
+
+BEAT = {
+    'address': '10.0.0.1:80',
+    'born': 1234,
+    'info': {'service': 's', 'version': 'v1', 'zone': 'z', 'slots': 12},
+    'status': {'state': 'ready', 'sequence': 4, 'coldLeftS': 1.5},
+    'holds': [[0, 9, 5]],
+    'freed': [[10, 19, 'pass']],
+}
+
+
+def test_heartbeat_is_decoded_whole():
+    found = control.decode_beat('node', 'i-1', json.dumps(BEAT).encode())
+    assert found.life == ranges.Life('node', 'i-1', 1234)
+    assert (found.slots, found.sequence, found.cold_left_s) == (12, 4, 1.5)
+    assert found.held == (leasing.Held(0, 9, 5),)
+    assert found.freed == (ranges.Piece(10, 19, 'pass'),)
+    assert not found.draining
+
+
+STATES = {
+    'draining': ({'state': 'draining'}, True),
+    'a state that is not known': ({'state': 'odd'}, True),
+}
+
+
+@pytest.mark.parametrize(('status', 'draining'), STATES.values(), ids=STATES)
+def test_only_ready_targets_get_new_work(status, draining):
+    beat = {**BEAT, 'status': {**BEAT['status'], **status}}
+    found = control.decode_beat('node', 'i-1', json.dumps(beat).encode())
+    assert found.draining is draining
+
+
+FOREIGN = {
+    'no sequence': {**BEAT, 'status': {'state': 'ready'}},
+    'slots of another type': {**BEAT, 'info': {'service': 's', 'slots': []}},
+    'no information': {'status': BEAT['status']},
+}
+
+
+@pytest.mark.parametrize('beat', FOREIGN.values(), ids=FOREIGN)
+def test_heartbeats_of_other_writers_are_refused(beat):
+    with pytest.raises(pydantic.ValidationError):
+        control.decode_beat('node', 'i-1', json.dumps(beat).encode())
+
+
+def test_renewal_without_authority_renews_nothing():
+    assert control.encode_renewal(leasing.Renewal()) == {}
+    row = leasing.GrantRow(0, 9, 5, 'pass')
+    assert control.encode_renewal(leasing.Renewal((row,), 2.5)) == {
+        'holds': [[0, 9, 5, 'pass']],
+        'holdS': 2.5,
+    }
+
+
+RECORDS = [
+    registry.MemberRecord(
+        'node', 9, 'z', 'h', 1, 's', 12, ranges.Life('node', 'i-1', 3)
+    ),
+    registry.PlanRecord(
+        's',
+        (
+            ranges.Range(
+                0,
+                65535,
+                4,
+                ranges.Life('node', 'i-1', 3),
+                (ranges.Life('other', 'i-2', 2),),
+            ),
+        ),
+    ),
+    registry.SecretRecord('ab'),
+]
+
+
+@pytest.mark.parametrize('record', RECORDS, ids=lambda one: type(one).__name__)
+def test_records_come_back_as_they_were(record):
+    key = registrycodec.name_record(record)
+    value = registrycodec.encode_record(record)
+    assert registrycodec.decode_record(key, value) == record
+
+
+def test_log_records_are_read_as_written():
+    entry = registry.Entry('member/a', b'value')
+    body = store.POSITIONS.pack(5, 0) + store.encode_entry(entry) * 2
+    assert store.decode_records(body) == registry.Batch((entry, entry), 5)
+    with pytest.raises(errors.LogUnavailable):
+        store.decode_records(body[:10])
+
+
+class FakeTopic:
+    """Gives scripted batches."""
+
+    name = 'fleet'
+
+    def __init__(self, batches):
+        self.batches = batches
+
+    async def read_newest(self):
+        return registry.Copy(1, {'a': registry.Item(0, b'1')})
+
+    async def read(self, offset, wait_s):
+        return self.batches.pop(0)
+
+
+async def test_copy_is_current_as_of_the_send_of_a_read_with_records():
+    """Later records may exist by the time an answer arrives."""
+    batch = registry.Batch(
+        (registry.Entry('a', b''), registry.Entry('b', b'2')), 3
+    )
+    one = follower.Follower(FakeTopic([batch]), (), lambda: 9)
+    await one._read()
+    await one._read()
+    copy = await one.handle(registry.GetCopy())
+    assert copy == registry.Copy(3, {'b': registry.Item(2, b'2')})
+
+
+POSITIONS = {
+    'the same end': (1, 50.0, 50.0),
+    'a peer behind': (0, 50.0, 50.0),
+    'a peer ahead': (2, 50.0, 10.0),
+}
+
+
+@pytest.mark.parametrize(
+    ('end', 'as_of', 'expected'), POSITIONS.values(), ids=POSITIONS
+)
+async def test_peers_make_a_copy_current(end, as_of, expected):
+    """Only a peer that knows nothing newer says that the copy is current."""
+    one = follower.Follower(FakeTopic([]), (), lambda: 9)
+    await one._read()
+    one.view.as_of = 10.0
+    await one.handle(registry.PeerPosition(1, end, as_of))
+    assert one.view.as_of == expected
+
+
+VARIABLES = {
+    'NAME': 'node-1',
+    'ZONE': 'a',
+    'HOST': '10.0.0.1',
+    'PEER_PORT': '7000',
+    'CALLERS': '10.0.0.1:80',
+    'READINESS': '10.0.0.1:81',
+    'HEARTBEATS': '10.0.0.1:82',
+    'TARGET': '10.0.0.1:83',
+    'TARGET_SERVICE': 's',
+    'LOG': '10.0.0.9:90',
+}
+
+
+def set_variables(monkeypatch, **changed):
+    for name, value in {**VARIABLES, **changed}.items():
+        if value is not None:
+            monkeypatch.setenv(f'SESAMEJUNCTION_{name}', value)
+
+
+def test_settings_come_from_a_file_and_the_environment(monkeypatch, tmp_path):
+    path = tmp_path / 'node.settings'
+    path.write_text(
+        ''.join(f'SESAMEJUNCTION_{k}="{v}"\n' for k, v in VARIABLES.items())
+    )
+    monkeypatch.setenv('SESAMEJUNCTION_SETTINGS', str(path))
+    monkeypatch.setenv('SESAMEJUNCTION_ZONE', 'b')
+    found = hostedsettings.read_hosted_settings({'peer_port': '7001'})
+    assert (found.zone, found.peer_port) == ('b', 7001)
+    assert found.parse('log').port == 90
+
+
+WRONG = {
+    'no port': ({'CALLERS': '10.0.0.1'}, '--callers'),
+    'port out of range': ({'TARGET': '10.0.0.1:99999'}, '--target'),
+    'missing': ({'LOG': None}, '--log'),
+    'not a number': ({'PEER_PORT': 'x'}, '--peer-port'),
+}
+
+
+@pytest.mark.parametrize(('changed', 'flag'), WRONG.values(), ids=WRONG)
+def test_bad_settings_are_one_line(changed, flag, monkeypatch):
+    set_variables(monkeypatch, **changed)
+    with pytest.raises(errors.SettingsError) as raised:
+        hostedsettings.read_hosted_settings({})
+    assert flag in str(raised.value)
+    assert '\n' not in str(raised.value)
