Simplify the target's lease: one time until which a returned target is cold

A target whose zone is back counts as cold for two heartbeats, 2 s, in place of one to two. Flags that nobody read are gone.

--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -24,8 +24,9 @@
 # A target whose hold has run out and that was not heard since has lost its
 # keys; so long after the end of the hold the node says so.
 SILENT_TARGET_S = deciding.HOLD_S + 0.3
-# After a zone is back its target counts as cold until a later heartbeat.
-BACK_COLD_S = 1.0
+# After its zone is back a target counts as cold for two heartbeats: the first
+# may have been sent before it became cold.
+BACK_COLD_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,13 +81,12 @@
         self._asking = {}
         self._claimants = []
         self._stopping = False
-        self._left = False
         self._leaving_since = None
         self._out_since = None
         self._cold_until = float('-inf')
         self._is_silent = False
         self._last_answer = leasing.Renewal()
-        self._back_at = float('-inf')
+        self._back_cold_until = float('-inf')
         self._registered = None
         self._registered_target = False
         self._inherited = None
@@ -153,20 +153,17 @@
                 present=lease.life,
             )
             return leasing.Renewal()
-        new = heartbeat.life != lease.life
-        if new:
+        if heartbeat.life != lease.life:
             eliot.log_message(
                 'owner: new life', life=heartbeat.life, before=lease.life
             )
-            self._left = False
             self._leaving_since = None
         lease.take_heartbeat(heartbeat, now)
         self._heartbeat = heartbeat
         self._registered_target = True
         self._is_silent = False
         self._cold_until = max(
-            now + heartbeat.cold_left_s,
-            self._back_cold_until(now),
+            now + heartbeat.cold_left_s, self._back_cold_until
         )
         if heartbeat.draining and self._leaving_since is None:
             self._leaving_since = now
@@ -178,17 +175,14 @@
         self._waiting = asyncio.get_running_loop().create_future()
         self._answer_at = now + ANSWER_WAIT_S
         self._ask_claims(now)
-        if self._is_urgent(new):
+        if self._is_urgent():
             self._answer(now)
             return self._last_answer
         if not self._answer_if_news(now):
             return self._waiting
         return self._last_answer
 
-    def _back_cold_until(self, now) -> float:
-        return self._back_at + BACK_COLD_S if now < self._back_at else now
-
-    def _is_urgent(self, new) -> bool:
+    def _is_urgent(self) -> bool:
         """Return whether the answer must not wait for news."""
         return (
             self._leaving_since is not None
@@ -298,7 +292,6 @@
         if self._lease.life is None or self._lease.life.target != target:
             return
         eliot.log_message('owner: target leaves', life=self._lease.life)
-        self._left = True
         if self._leaving_since is None:
             self._leaving_since = now
         self._register()
@@ -336,7 +329,7 @@
             # The target may have become cold while its zone was out.
             self._out_since = None
             found = current.services.get(service)
-            self._back_at = now + BACK_COLD_S
+            self._back_cold_until = now + BACK_COLD_S
             if found is not None and found.cold_rate:
                 self._cold_until = max(self._cold_until, now + found.cold_s)
         self._publish()
