Finish requests at the target before a stopping node ends

Two nodes stopped at once; side-thrissur-1 went on taking requests for the keys of its target until its limit of 5 s and then broke off the 12 that ran (node: stopped cut=12). Other nodes send to the owner of a key until it is gone, so under load a stopping node always has some open. Ruled out: waiting longer, since the load does not end by itself.

--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -21,6 +21,9 @@
 # After a broken connection the target may have started anew and be cold.
 SUSPECT_S = 1.2
 RETRY_AFTER_S = 0.1
+# A node that is replaced finishes its requests and starts anew in about this
+# time; the keys of its target are served again then.
+RESTART_S = 1.0
 
 refuse = porting.refuse
 
@@ -45,6 +48,7 @@
         self._factor = scheduling.WaitFactor()
         self._sent = scheduling.ColdWindow()
         self._suspect_until = float('-inf')
+        self._stopping = False
 
     @property
     def load(self) -> requests.Load:
@@ -67,6 +71,8 @@
                 return self._admit(head)
             case gating.Finished():
                 self._finish(message)
+            case gating.StopAdmitting():
+                self._stopping = True
             case leasing.Standing():
                 self._standing = message
                 self._start_waiting()
@@ -90,6 +96,12 @@
         if head.route_key is not None:
             self._keys.add(int(head.route_key), now)
         refusal = self._find_refusal(now)
+        if self._stopping:
+            refusal = refuse(
+                requests.Code.STOPPING,
+                'the node stops; send to another one or come back',
+                retry_after_s=RESTART_S,
+            )
         if refusal is not None:
             return refusal
         organisation = self._state.organisations.get(head.organisation)
--- a/sesamejunction/ui/hosted.py
+++ b/sesamejunction/ui/hosted.py
@@ -95,6 +95,7 @@
         parts.start_stop()
         eliot.log_message('node: stopping', open=parts.count_open())
         await asyncio.sleep(LEAVE_S)
+        parts.finish_work()
         while parts.count_open() and loop.time() < ends:
             await asyncio.sleep(CHECK_S)
         eliot.log_message('node: stopped', cut=parts.count_open())
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -17,6 +17,7 @@
 from sesamejunction.commands import hosting
 from sesamejunction.commands import ports as porting
 from sesamejunction import errors
+from sesamejunction.model import gating
 from sesamejunction.model import leasing
 from sesamejunction.model import messages
 from sesamejunction.model import operating
@@ -327,6 +328,13 @@
         self.front.stopping = True
         self._lease.tell(leasing.StopNode())
 
+    def finish_work(self) -> None:
+        """Refuse new work at the target, so that what runs there can end.
+
+        Nodes that forward requests send them until this node is gone.
+        """
+        self._scheduler.tell(gating.StopAdmitting())
+
     def count_open(self) -> int:
         """Return the requests that still run here."""
         load = self._scheduler.load
--- a/standins/keyserver.py
+++ b/standins/keyserver.py
@@ -27,7 +27,9 @@
         self._sequence = 0
         self._freed = []
         self._stack = contextlib.AsyncExitStack()
-        self._work_s = 0.002
+        self.work_s = 0.002
+        # Requests whose connection was closed while they ran.
+        self.cut = 0
         self.holds = []
         self.hold_until = 0.0
         self.ran = []
@@ -59,7 +61,9 @@
             )
         body = await request.read()
         self.ran.append((time.monotonic(), dict(request.headers), body))
-        await asyncio.sleep(self._work_s)
+        await asyncio.sleep(self.work_s)
+        if request.transport is None or request.transport.is_closing():
+            self.cut += 1
         headers['X-Response-Signature'] = 'signed'
         return web.Response(body=b'whole', headers=headers)
 
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -369,3 +369,27 @@
         served = statuses[: statuses.index(0)] if 0 in statuses else statuses
         assert set(served) <= {200}
         assert one.process.returncode == 0
+
+
+async def test_planned_stop_of_a_busy_owner_cuts_nothing():
+    """Other nodes send to the owner of a key until it is gone.
+
+    A node that takes their requests to its end always has some open, and
+    broke off 12 of them at its limit of 5 s.
+    """
+    async with Fleet() as fleet:
+        one, other = fleet.machines[0], fleet.machines[3]
+        key = one.server.holds[0][0]
+        one.server.work_s = 0.4
+        stop = asyncio.ensure_future(one.end(signal.SIGTERM))
+        calls = []
+        while not stop.done():
+            calls.append(
+                asyncio.ensure_future(fleet.call(other, '/look/x', key))
+            )
+            await asyncio.sleep(0.05)
+        statuses = [status for status, _ in await asyncio.gather(*calls)]
+        assert one.server.cut == 0
+        assert 502 not in statuses
+        assert statuses.count(200) >= len(statuses) / 4
+        assert one.process.returncode == 0
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -252,6 +252,19 @@
         assert reply.outcome is requests.Outcome.NOT_RUN
 
 
+async def test_stopping_node_finishes_what_it_took():
+    """Pattern: a node is replaced while its target's keys are busy."""
+    made, _ = await make_scheduler(slots=1)
+    await admit(made, make_head(0))
+    waiting = await admit(made, make_head(1))
+    await made.handle(gating.StopAdmitting())
+    refused = await admit(made, make_head(2))
+    assert refused.code is requests.Code.STOPPING
+    assert refused.outcome is requests.Outcome.NOT_RUN
+    await made.handle(gating.Finished('r0', 0.05))
+    assert isinstance(waiting.result(), gating.Admitted)
+
+
 async def test_waiting_requests_are_refused_when_the_target_leaves():
     """They would otherwise start after the limit for a leaving target."""
     made, clock = await make_scheduler(slots=1)
