--- a/sesamejunction/decisions/holding.py
+++ b/sesamejunction/decisions/holding.py
@@ -35,8 +35,8 @@
 # An organisation that was given less than it asked for within this time sends
 # more than its rate, so most requests that waited would end without a token.
 SHORT_S = 0.5
-# As many may wait meanwhile: without any, nothing would ask for tokens, and
-# with one the bucket is not used up (bench/shares).
+# Its requests that may wait at a node meanwhile. Without any, nothing would
+# ask for tokens, and with one the bucket is not used up (bench/shares).
 SHORT_QUEUE = 2
 # Keeps a request within one datagram of 1,400 bytes with names of 32 bytes;
 # the other organisations follow with the next request.
--- a/test/process/load.py
+++ b/test/process/load.py
@@ -83,12 +83,14 @@
         self._open = set()
 
     async def __aenter__(self):
-        # A new connection for each call: a client's pool would repeat GET
-        # calls whose connection broke, and so hide that they were cut.
+        # A new connection for each call, so that none waits for another.
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, force_close=True),
             timeout=aiohttp.ClientTimeout(total=CLIENT_LIMIT_S),
         )
+        # The client would repeat GET calls whose connection broke, which
+        # hides that they were cut; it has no public switch for that.
+        self._session._retry_connection = False
         self._sender = asyncio.create_task(self._send_all())
         return self
 
