--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -18,8 +18,6 @@
 # silent. It does not make the target suspect of a new start: at a busy target
 # answers are late, and only a port that takes no connection tells of a start.
 MISSES = 2
-# A request starts only if this part of its usual time is left.
-START_PART = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,7 +90,7 @@
 async def _take_place(ports, head) -> requests.Refusal | None:
     """Wait for a place at the target; returns why there is none, or None."""
     # Later than this it would start only to be given up half-way.
-    least_s = ports.scheduler.expect_time(head.route) * START_PART
+    least_s = ports.scheduler.expect_least(head.route)
     started = ports.clock()
     left_s = head.deadline - least_s - started
     try:
--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -21,6 +21,7 @@
 # are not in the average. A wait that outlasts its deadline raises the factor
 # as much as about 15 that end in a start lower it, so nine of ten waits or
 # more should pay.
+# The factor is a ratio of seconds; beyond 4 hardly a request would wait.
 LARGEST_FACTOR = 4.0
 RAISE_FACTOR = 1.08
 EASE_FACTOR = 0.995
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -60,9 +60,9 @@
             self._times.mean,
         )
 
-    def expect_time(self, route: str) -> float:
-        """Return the expected seconds of one request of a route."""
-        return self._times.expect(route)
+    def expect_least(self, route: str) -> float:
+        """Return the seconds without which a request is not started."""
+        return self._times.expect(route) * scheduling.START_PART
 
     async def handle(self, message):
         """Handle one message."""
@@ -216,7 +216,7 @@
             entrant = self._queue.pop()
             if entrant.reply.done():
                 continue
-            least = self._times.expect(entrant.route) * scheduling.START_PART
+            least = self.expect_least(entrant.route)
             if now + least > entrant.deadline:
                 self._factor.count_expiry()
                 entrant.reply.set_result(
@@ -241,7 +241,7 @@
         waiting = self._queue.remove(finished.request_id)
         if waiting is not None:
             waiting.reply.cancel()
-            least = self._times.expect(waiting.route) * scheduling.START_PART
+            least = self.expect_least(waiting.route)
             # Otherwise its caller has left.
             if self._clock() + least >= waiting.deadline:
                 self._factor.count_expiry()
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -382,6 +382,7 @@
         stopped_at = time.time()
         await one.stop_server()
         await one.start_server('server-1')
+        await fleet.wait_until_served()
         # Its last piece may come a moment after the keys that are asked for.
         await fleet.wait_until_all_hold()
         fleet.print_plans(stopped_at)
--- a/test/test_hosting.py
+++ b/test/test_hosting.py
@@ -33,7 +33,7 @@
         await asyncio.sleep(self._wait_s)
         return self._reply
 
-    def expect_time(self, _route):
+    def expect_least(self, _route):
         return 0.0
 
     def give_back(self, message):
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -147,7 +147,7 @@
                 self.at_once += 1
             case waiting:
                 self._waiting[head.request_id] = waiting, head.deadline
-                least = self._made.expect_time('order') / 2
+                least = self._made.expect_least('order')
                 at = head.deadline - least
                 self._push(max(now, at), ('expire', head.request_id))
 
