Take a token for each attempt that may run, bound second tries

Cause: targets ran up to 44.5 lookups above an organisation's rate (burst 40) in test_tenants, as KNOWN-RED said. Each run answered by more than one attempt was counted once at the shares: in the run with 44.5, 336 runs stood against 325 answered requests, so 11 had no token. A second try of a slow lookup took neither a token nor anything from the budget of retries, as the row for attempts that reached no target covered it; a repeat after a lost answer took no token. Ruled out: the allocator's change at a planned stop. Each pool of a new term starts empty and grows at half the burst a grant period. Change: a second try takes a retry and a token without waiting, a repeat after a loss takes both and may wait for the token. What has not run keeps its token as before. Conclusion: the two rows of KNOWN-RED for test_tenants are mended.

--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -142,11 +142,7 @@
                 retry_after_s=1.0,
             )
             return attempts.Rejected()
-        if not self._is_metered():
-            return attempts.Admitted()
-        spent = await ports.shares.ask(
-            sharing.Spend(head.organisation, head.deadline)
-        )
+        spent = await self._take_token(head.deadline)
         match spent:
             case sharing.Spent(receipt=receipt):
                 self._receipt = receipt
@@ -159,6 +155,14 @@
                 return attempts.Rejected()
         return attempts.Admitted()
 
+    async def _take_token(self, deadline: float):
+        """Return Spent or OverRate; a token is waited for until deadline."""
+        if not self._is_metered():
+            return sharing.Spent()
+        return await self._ports.shares.ask(
+            sharing.Spend(self._head.organisation, deadline)
+        )
+
     def _is_metered(self) -> bool:
         """Return whether the request takes from an organisation's share."""
         if not self._head.organisation:
@@ -197,6 +201,21 @@
             # Following a moved slot costs the targets nothing; it is bound
             # by the pauses, the attempts and the deadline.
             return True
+        # What may have run has used its token. Without another for the next
+        # attempt, targets would run up to RETRY_PART above the rate.
+        match event:
+            case attempts.Late():
+                token_by = 0.0
+            case attempts.Lost():
+                token_by = self._head.deadline
+            case _:
+                return await self._may_resend()
+        if not await self._ports.chooser.ask(choosing.TakeRetry()):
+            return False
+        return isinstance(await self._take_token(token_by), sharing.Spent)
+
+    async def _may_resend(self) -> bool:
+        """Return whether to try again what has surely not run."""
         if self._count <= FREE_DECLINES and not self._reached:
             # Nothing has reached a target yet, so the attempt adds no work.
             return True
