Carry the numbers behind a refusal to the line of its caller's node

The line of the gate that refused had been dropped by the limit of lines a second, and a refusal of shares named neither tokens nor demand. Change: a refusal has inputs, which the frame between nodes carries and 'caller: request failed' prints, with the target's load. Callers do not get them. A frame of an older node is read without them. Holding is two modules: what is known of one organisation (purses) and the holder's decisions.

--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -78,6 +78,7 @@
                 reply.message,
                 reply.retry_after_s,
                 wire,
+                reply.inputs,
             )
 
 
@@ -98,6 +99,7 @@
                 frame.message,
                 frame.retry_after_s,
                 load=frame.load and requests.Load(*frame.load),
+                inputs=frame.inputs,
             )
         case _:
             raise errors.PeerLost('a peer answered another question')
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -101,6 +101,10 @@
             requests.Code.DEADLINE,
             'too little time was left after the wait for a place',
             retry_after_s=RETRY_AFTER_S,
+            inputs=(
+                ('waited_s', round(ports.clock() - started, 3)),
+                ('least_s', round(least_s, 3)),
+            ),
         )
     except (errors.InboxFull, errors.TaskStopped) as error:
         return refuse(requests.Code.OVERLOADED, str(error), retry_after_s=1.0)
--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -146,11 +146,12 @@
         match spent:
             case sharing.Spent(receipt=receipt):
                 self._receipt = receipt
-            case sharing.OverRate(retry_after_s=retry_after_s):
+            case sharing.OverRate(retry_after_s, inputs):
                 self._refusal = refuse(
                     requests.Code.OVER_RATE,
                     'the organisation is over its rate; retry later',
                     retry_after_s=retry_after_s,
+                    inputs=inputs,
                 )
                 return attempts.Rejected()
         return attempts.Admitted()
--- a/sesamejunction/decisions/holding.py
+++ b/sesamejunction/decisions/holding.py
@@ -1,32 +1,22 @@
 """Holder's side of shares: spends tokens and asks allocators for more."""
 
 import collections
-import dataclasses
 import math
 
-from sesamejunction.decisions import shares
+from sesamejunction.decisions import purses
 from sesamejunction.model import messages
 from sesamejunction.model import timing
 
-DEMAND_WINDOW_S = 0.5
-# A holder asks when it holds less than LOW_S of its demand, for REFILL_S.
+# A holder asks when it holds less than this much of its demand.
 LOW_S = 0.1
-REFILL_S = 0.25
 # Tokens for more than this much demand are given back, so that they can be
 # used where the demand has moved to.
 SURPLUS_S = 0.5
 # Least time between two requests to an allocator that gave all it was asked
 # for; one that gave less is asked again after the usual interval.
 URGENT_S = 0.02
-FIRST_TIMEOUT_S = timing.SHARE_INTERVAL_S
-LONGEST_TIMEOUT_S = 0.4
 # Unanswered requests after which the next member of the order is asked.
 MISSES = 2
-# Without local buckets the burst is small: single tokens parked at many nodes
-# would use it up, so a node asks for each request when it comes.
-LEAST_ADVANCE = 3
-# A demand below this, in requests a second, asks for nothing in advance.
-IDLE_RATE = 0.2
 # Requests may wait for about this much of the recent grants. Where demand
 # has just moved to, the grants do not show it yet.
 QUEUE_S = 0.2
@@ -43,112 +33,6 @@
 MAX_LINES = 24
 
 
-@dataclasses.dataclass(slots=True)
-class Lot:
-    """Tokens of one grant, dropped at ``end``."""
-
-    tokens: float
-    end: float
-
-
-@dataclasses.dataclass(slots=True)
-class Meter:
-    """Rate of events over the last half second or so."""
-
-    count: float = 0.0
-    at: float = 0.0
-
-    def add(self, amount: float, now: float) -> None:
-        """Count events."""
-        self.count = self.read(now) * DEMAND_WINDOW_S + amount
-        self.at = now
-
-    def read(self, now: float) -> float:
-        """Return events a second."""
-        decay = math.exp((self.at - now) / DEMAND_WINDOW_S)
-        rate = self.count * decay / DEMAND_WINDOW_S
-        return rate if rate >= IDLE_RATE else 0.0
-
-
-@dataclasses.dataclass(slots=True)
-class Purse:
-    """Tokens of one organisation held here.
-
-    ``allocators`` are the candidates, ``choice`` counts the changes from one
-    to the next, and ``asked`` the requests to it since its latest reply.
-    ``report`` numbers the reports to allocators. Until ``empty_until`` the
-    organisation has used up its bucket at all nodes, until ``short_until``
-    it got less than it asked for lately. ``unconfirmed`` tells that a grant
-    for single requests was not reported as spent yet.
-    """
-
-    local: shares.Quota
-    common: shares.Quota
-    allocators: tuple[int, ...]
-    filled_at: float
-    level: float = 0.0
-    choice: int = 0
-    asked: int = 0
-    report: int = 1
-    waiting: int = 0
-    scarce: bool = False
-    empty_until: float = float('-inf')
-    short_until: float = float('-inf')
-    unconfirmed: bool = False
-    lots: list[Lot] = dataclasses.field(default_factory=list)
-    demand: Meter = dataclasses.field(default_factory=Meter)
-    granted: Meter = dataclasses.field(default_factory=Meter)
-
-    @property
-    def allocator(self) -> int | None:
-        """Return the member to ask, None when none is known."""
-        if not self.allocators:
-            return None
-        return self.allocators[self.choice % len(self.allocators)]
-
-    @property
-    def horizon(self) -> float:
-        """Return seconds of demand to ask for.
-
-        A small burst must not be used up by the tokens that lie unspent.
-        """
-        if not self.common.rate:
-            return REFILL_S
-        return min(REFILL_S, self.common.burst / (4 * self.common.rate))
-
-    def count_advance(self, now: float) -> int:
-        """Return tokens to hold for requests that are still to come."""
-        # Rounded down: tokens kept for rare requests would use up the rate.
-        advance = math.floor(self.demand.read(now) * self.horizon)
-        least = 1 if self.local.burst else LEAST_ADVANCE
-        return advance if advance >= least else 0
-
-
-@dataclasses.dataclass(slots=True)
-class Session:
-    """The latest request to one allocator."""
-
-    sequence: int = 0
-    received: int = 0
-    sent_at: float = float('-inf')
-    misses: int = 0
-    organisations: dict[str, float] = dataclasses.field(default_factory=dict)
-
-    @property
-    def is_answered(self) -> bool:
-        """Return whether the latest request was answered."""
-        return self.received == self.sequence
-
-    @property
-    def timeout_s(self) -> float:
-        """Return how long to wait for a reply before asking anew.
-
-        It grows with each miss, because a new request voids the reply that
-        may still be on its way.
-        """
-        return min(LONGEST_TIMEOUT_S, FIRST_TIMEOUT_S * 2**self.misses)
-
-
 class Holder:
     """Tokens of one node, by organisation; ``now`` is boot-clock seconds."""
 
@@ -157,13 +41,13 @@
         self._sequence = 0
         self.purses = {}
         self._active = set()
-        self._sessions = collections.defaultdict(Session)
+        self._sessions = collections.defaultdict(purses.Session)
 
     def set_organisation(self, name, local, common, allocators, now) -> None:
         """Take up an organisation or its changed quotas and allocators."""
         purse = self.purses.get(name)
         if purse is None:
-            self.purses[name] = Purse(local, common, allocators, now)
+            self.purses[name] = purses.Purse(local, common, allocators, now)
             return
         self._fill_local(purse, now)
         purse.local, purse.common = local, common
@@ -236,6 +120,20 @@
         purse = self.purses[name]
         return now < purse.empty_until and not purse.local.burst
 
+    def list_inputs(
+        self, name: str, now: float
+    ) -> tuple[tuple[str, float], ...]:
+        """Return the numbers behind a refusal, by name; times in seconds."""
+        purse = self.purses[name]
+        return (
+            ('tokens', self.count_unspent(purse, now) + purse.level),
+            ('demand', round(purse.demand.read(now), 1)),
+            ('granted', round(purse.granted.read(now), 1)),
+            ('waiting', purse.waiting),
+            ('empty_s', round(max(0.0, purse.empty_until - now), 3)),
+            ('short_s', round(max(0.0, purse.short_until - now), 3)),
+        )
+
     def list_requests(
         self, now: float, names=None
     ) -> list[tuple[int, messages.ShareRequest]]:
@@ -300,7 +198,7 @@
             # allocator began to count.
             end = session.sent_at + grant.valid_s - timing.GRANT_MARGIN_S
             if grant.tokens and end > now:
-                purse.lots.append(Lot(grant.tokens, end))
+                purse.lots.append(purses.Lot(grant.tokens, end))
                 purse.lots.sort(key=lambda lot: lot.end)
                 purse.granted.add(grant.tokens, now)
                 # The level cannot grow while it is counted as unspent.
@@ -308,16 +206,16 @@
             grown.append(grant.organisation)
         return grown
 
-    def is_expected(self, session: Session, reply) -> bool:
+    def is_expected(self, session: purses.Session, reply) -> bool:
         """Return whether the reply answers the latest request."""
         return reply.sequence == session.sequence and not session.is_answered
 
-    def count_unspent(self, purse: Purse, now: float) -> float:
+    def count_unspent(self, purse: purses.Purse, now: float) -> float:
         """Return the tokens from grants that can still be spent."""
         self.drop_ended(purse, now)
         return sum(lot.tokens for lot in purse.lots)
 
-    def drop_ended(self, purse: Purse, now: float) -> None:
+    def drop_ended(self, purse: purses.Purse, now: float) -> None:
         """Drop the lots whose grant has ended, and empty ones.
 
         The newest is kept for tokens that are given back.
@@ -330,14 +228,14 @@
                 if lot.end > now and (lot.tokens >= 1 or lot is lots[-1])
             ]
 
-    def _fill_local(self, purse: Purse, now: float) -> None:
+    def _fill_local(self, purse: purses.Purse, now: float) -> None:
         passed = max(0.0, now - purse.filled_at)
         purse.level = min(
             purse.local.burst, purse.level + passed * purse.local.rate
         )
         purse.filled_at = now
 
-    def _find_want(self, purse: Purse, now: float) -> int:
+    def _find_want(self, purse: purses.Purse, now: float) -> int:
         """Return the tokens to ask for, or, negative, to give back."""
         demand = purse.demand.read(now)
         unspent = self.count_unspent(purse, now)
@@ -355,7 +253,7 @@
         if (want or purse.unconfirmed) and len(wants) < MAX_LINES:
             wants[name] = want
 
-    def _may_ask(self, purse: Purse, now: float) -> bool:
+    def _may_ask(self, purse: purses.Purse, now: float) -> bool:
         session = self._sessions[purse.allocator]
         waited = now - session.sent_at
         if not session.is_answered:
@@ -367,7 +265,7 @@
             return waited >= timing.SHARE_INTERVAL_S
         return waited >= URGENT_S
 
-    def _change_allocator(self, purse: Purse, now: float) -> None:
+    def _change_allocator(self, purse: purses.Purse, now: float) -> None:
         # Without the log, only silence tells that a successor took over.
         session = self._sessions[purse.allocator]
         if session.is_answered or purse.asked < MISSES:
@@ -404,7 +302,7 @@
             tuple(lines),
         )
 
-    def _remove(self, purse: Purse, tokens: float) -> None:
+    def _remove(self, purse: purses.Purse, tokens: float) -> None:
         for lot in purse.lots:
             taken = min(tokens, lot.tokens)
             lot.tokens -= taken
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -59,6 +59,7 @@
     message: str
     retry_after_s: float | None
     load: tuple[int, int, int, float] | None
+    inputs: tuple[tuple[str, float], ...] = ()
 
 
 class Cancel(Frame, tag=5):
--- a/sesamejunction/model/requests.py
+++ b/sesamejunction/model/requests.py
@@ -95,6 +95,8 @@
     """A reply that carries no answer.
 
     ``owner`` is ``host:port`` of the node that serves the key, where known.
+    ``inputs`` are the numbers that decided it, by name, for the log line of
+    the caller's node; callers do not get them.
     """
 
     code: Code
@@ -103,6 +105,7 @@
     retry_after_s: float | None = None
     owner: str | None = None
     load: Load | None = None
+    inputs: tuple[tuple[str, float], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/model/sharing.py
+++ b/sesamejunction/model/sharing.py
@@ -25,9 +25,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OverRate:
-    """No token is left here; ``retry_after_s`` is a hint in seconds."""
+    """No token is left here; ``retry_after_s`` is a hint in seconds.
+
+    ``inputs`` are the numbers that decided it, by name.
+    """
 
     retry_after_s: float
+    inputs: tuple[tuple[str, float], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/tasks/audit.py
+++ b/sesamejunction/tasks/audit.py
@@ -1,5 +1,7 @@
 """Counts replies and logs those that a caller may ask about."""
 
+import dataclasses
+
 from sesamejunction.border import logs
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
@@ -31,6 +33,10 @@
         code = getattr(outcome, 'code', None)
         self._count(kind, code.value if code else '', taken_s)
         now = clock.read_boot_clock()
+        # The refusing node's own line may have been dropped by its limit.
+        inputs = dict(getattr(outcome, 'inputs', ()))
+        if outcome.load is not None:
+            inputs['target_load'] = dataclasses.asdict(outcome.load)
         self._lines.log_message(
             'caller: request failed',
             request=head.request_id,
@@ -42,6 +48,7 @@
             reason=reason,
             taken_s=round(taken_s, 3),
             left_s=round(head.deadline - now, 3),
+            inputs=inputs,
             **self._describe(head),
         )
 
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -166,22 +166,24 @@
             wait_s = max(wait_s, ahead / cold)
         needed = wait_s + self._times.expect(entrant.route)
         if now + needed > entrant.deadline:
+            inputs = {
+                'rank': entrant.rank,
+                'ahead': ahead,
+                'running': len(self._running),
+                'slots': self._standing.slots,
+                'cold': int(bool(cold)),
+                'factor': round(self._factor.value, 2),
+                'needed_s': round(needed, 3),
+                'left_s': round(entrant.deadline - now, 3),
+            }
             self._lines.log_message(
-                'gate: request refused',
-                request=entrant.request_id,
-                rank=entrant.rank,
-                ahead=ahead,
-                running=len(self._running),
-                slots=self._standing.slots,
-                cold=bool(cold),
-                factor=round(self._factor.value, 2),
-                needed_s=round(needed, 3),
-                left_s=round(entrant.deadline - now, 3),
+                'gate: request refused', request=entrant.request_id, **inputs
             )
             return refuse(
                 requests.Code.OVERLOADED,
                 'the wait would pass the deadline; retry later',
                 retry_after_s=max(scheduling.SHORTEST_RETRY_S, wait_s / 2),
+                inputs=tuple(inputs.items()),
             )
         reply = asyncio.get_running_loop().create_future()
         self._queue.push(
@@ -224,6 +226,7 @@
                         requests.Code.DEADLINE,
                         'too little time is left to run it',
                         retry_after_s=RETRY_AFTER_S,
+                        inputs=(('least_s', round(least, 3)),),
                     )
                 )
                 continue
--- a/sesamejunction/tasks/shares.py
+++ b/sesamejunction/tasks/shares.py
@@ -86,7 +86,8 @@
         """Return the reply; Spend may wait for the next grant."""
         if not isinstance(message, sharing.Spend):
             return await super().ask(message)
-        left_s = message.deadline - clock.read_boot_clock()
+        asked_at = clock.read_boot_clock()
+        left_s = message.deadline - asked_at
         if left_s <= 0:
             return await super().ask(message)
         try:
@@ -95,7 +96,8 @@
             ):
                 return await super().ask(message)
         except TimeoutError:
-            return sharing.OverRate(RETRY_AFTER_S)
+            waited_s = round(clock.read_boot_clock() - asked_at, 3)
+            return sharing.OverRate(RETRY_AFTER_S, (('waited_s', waited_s),))
 
     async def run(self) -> None:
         """Handle messages until cancelled."""
@@ -159,13 +161,18 @@
                 return sharing.Spent(receipt)
         if message.deadline <= now or not self._holder.may_wait(name, now):
             self._refused += 1
-            return sharing.OverRate(RETRY_AFTER_S)
+            return self._refuse(name, now)
         waiter = asyncio.get_running_loop().create_future()
         self._waiting[name].append(waiter)
         self._holder.purses[name].waiting += 1
         self._ask_for(name, now)
         return waiter
 
+    def _refuse(self, name: str, now: float) -> sharing.OverRate:
+        return sharing.OverRate(
+            RETRY_AFTER_S, self._holder.list_inputs(name, now)
+        )
+
     def _take(self, reply, now: float) -> None:
         for name in self._holder.take(reply, now):
             self._serve_waiting(name, now)
@@ -191,7 +198,7 @@
         if self._holder.is_empty(name, now):
             for waiter in queue:
                 if not waiter.done():
-                    waiter.set_result(sharing.OverRate(RETRY_AFTER_S))
+                    waiter.set_result(self._refuse(name, now))
             self._refused += len(queue)
             queue.clear()
         purse.waiting = len(queue)
--- /dev/null
+++ b/test/test_linkcodec.py
@@ -0,0 +1,42 @@
+"""Frames between nodes carry replies whole."""
+
+import msgspec
+import pytest
+
+from sesamejunction.border import linkcodec
+from sesamejunction.commands import ports as porting
+from sesamejunction.model import linking
+from sesamejunction.model import requests
+
+LOAD = requests.Load(3, 9, 4, 0.02)
+REFUSALS = {
+    'plain': porting.refuse(requests.Code.NOT_OWNER, 'ask again'),
+    'with its inputs': porting.refuse(
+        requests.Code.OVERLOADED,
+        'full',
+        retry_after_s=0.1,
+        load=LOAD,
+        inputs=(('ahead', 9), ('needed_s', 0.31)),
+    ),
+    'unknown': requests.Refusal(
+        requests.Code.LOST, requests.Outcome.UNKNOWN, 'cut', load=LOAD
+    ),
+}
+
+
+# Guards against a refusal whose inputs stay with the node that refused, where
+# the limit of lines may drop them.
+@pytest.mark.parametrize('refusal', REFUSALS.values(), ids=REFUSALS)
+async def test_refusal_arrives_whole(refusal):
+    sent = msgspec.msgpack.encode(await linkcodec.encode_reply(7, refusal))
+    frame = msgspec.msgpack.decode(sent, type=linking.Refused)
+    assert linkcodec.decode_reply(frame) == refusal
+
+
+async def test_frame_of_an_older_node_is_read():
+    """Guards against a rolling update in which refusals cannot be read."""
+    refusal = REFUSALS['plain']
+    sent = await linkcodec.encode_reply(7, refusal)
+    older = msgspec.msgpack.decode(msgspec.msgpack.encode(sent))[:-1]
+    frame = msgspec.convert(older, linking.Refused)
+    assert linkcodec.decode_reply(frame) == refusal
--- a/test/test_logs.py
+++ b/test/test_logs.py
@@ -67,23 +67,40 @@
     os.close(write_end)
 
 
+LOAD = requests.Load(3, 9, 4, 0.02)
+DECIDED = (('ahead', 9), ('needed_s', 0.31))
 OUTCOMES = {
-    'answered': (wholes.build_answer(200, (), b''), None),
-    'target failed': (wholes.build_answer(500, (), b''), 'target failed'),
+    'answered': (wholes.build_answer(200, (), b''), None, {}),
+    'target failed': (wholes.build_answer(500, (), b''), 'target failed', {}),
     'refused': (
-        porting.refuse(requests.Code.OVERLOADED, 'full'),
+        porting.refuse(
+            requests.Code.OVERLOADED, 'full', load=LOAD, inputs=DECIDED
+        ),
         'not-run',
+        {
+            'ahead': 9,
+            'needed_s': 0.31,
+            'target_load': {
+                'in_flight': 3,
+                'queued': 9,
+                'limit': 4,
+                'latency_s': 0.02,
+            },
+        },
     ),
     'unknown': (
         requests.Refusal(requests.Code.LOST, requests.Outcome.UNKNOWN, 'cut'),
         'unknown',
+        {},
     ),
 }
 
 
-@pytest.mark.parametrize(('outcome', 'kind'), OUTCOMES.values(), ids=OUTCOMES)
+@pytest.mark.parametrize(
+    ('outcome', 'kind', 'decided'), OUTCOMES.values(), ids=OUTCOMES
+)
 def test_failed_requests_are_logged_with_their_inputs(
-    outcome, kind, monkeypatch
+    outcome, kind, decided, monkeypatch
 ):
     recorder = Recorder()
     monkeypatch.setattr(logs.eliot, 'log_message', recorder)
@@ -97,6 +114,7 @@
         assert fields['request'] == 'id.1'
         assert fields['outcome'] == kind
         assert fields['reason']
+        assert fields['inputs'] == decided
         assert inputs.items() <= fields.items()
     assert 'sesamejunction_requests_total{' in metrics.render()
 
--- a/test/test_shares.py
+++ b/test/test_shares.py
@@ -9,6 +9,7 @@
 
 from sesamejunction.decisions import granting
 from sesamejunction.decisions import holding
+from sesamejunction.decisions import purses
 from sesamejunction.decisions import shares
 from sesamejunction.model import messages
 from sesamejunction.model import requests
@@ -235,7 +236,7 @@
         (1, 2),
         0.0,
     )
-    for _ in range(int(demand * holding.DEMAND_WINDOW_S)):
+    for _ in range(int(demand * purses.DEMAND_WINDOW_S)):
         holder.count_demand('one', 0.0)
     return holder
 
--- a/test/test_sharetasks.py
+++ b/test/test_sharetasks.py
@@ -122,6 +122,11 @@
         replies = [await spend(network[2], 2.0) for _ in range(3)]
         assert {type(one) for one in replies} == {sharing.OverRate}
         assert clock.read_boot_clock() - started < holding.WAIT_S
+        # Without them a log line cannot say why a request was refused.
+        decided = dict(replies[0].inputs)
+        assert decided['tokens'] < 1
+        assert decided['demand'] > 1
+        assert decided['empty_s'] > 0
 
 
 async def test_forged_holder_gets_nothing():
