Send waiting requests when the successor's hold ends

Cause: of the second in which a lost key is served again the lease takes 0.6 s and the hold 0.25 s; a request that waits looked again after pauses of up to 0.1 s, which could pass the end of the hold by their whole length. Change: a node that only waits for a hold says in its refusal in how long it serves, and the pause of the request ends then.

--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -72,6 +72,7 @@
         self._tried = ()
         self._unreachable = ()
         self._pause_s = FIRST_PAUSE_S
+        self._ready_at = None
         self._count = 0
         self._receipt = 0
         self._tainted = False
@@ -272,6 +273,11 @@
         """Wait; returns False when there is no room or time for it."""
         ports, pause = self._ports, self._pause_s
         self._pause_s = min(pause * 2, LONGEST_PAUSE_S)
+        if self._ready_at is not None:
+            # The successor said when it serves; a whole pause may pass that
+            # by almost its length.
+            left_s = max(FIRST_PAUSE_S, self._ready_at - ports.clock())
+            pause = min(pause, left_s)
         if ports.clock() + pause >= self._head.deadline:
             return False
         if not ports.room.enter():
@@ -330,9 +336,11 @@
         match result.reply:
             case requests.Answer():
                 self._answer = self._describe_answer(result)
-            case requests.Refusal(owner=owner):
+            case requests.Refusal(owner=owner, retry_after_s=wait_s):
                 self._refusal = result.reply
                 self._owner = owner
+                if self._keyed and wait_s is not None:
+                    self._ready_at = self._ports.clock() + wait_s
             case None if self._refusal is None:
                 self._refusal = refuse(
                     requests.Code.NO_TARGET,
--- a/sesamejunction/commands/serving.py
+++ b/sesamejunction/commands/serving.py
@@ -140,12 +140,13 @@
         owning.EnterSlot(*visit.place, visit.head.request_id, visit.key_hash)
     )
     match reply:
-        case owning.NotServing(owner=owner):
+        case owning.NotServing(owner=owner, ready_in_s=ready_in_s):
             visit.place = None
             member = current.members.get(owner)
             return refuse(
                 requests.Code.NOT_OWNER,
                 'this node does not own the key; ask its owner',
+                retry_after_s=ready_in_s,
                 owner=member and routes.name_address(member),
             )
         case owning.Serving(token=token):
--- a/sesamejunction/decisions/ownership.py
+++ b/sesamejunction/decisions/ownership.py
@@ -378,6 +378,15 @@
             return owner
 
 
+def find_wait(view: View, slot: Slot, now: float) -> float | None:
+    """Return the seconds until this node serves, None unless it only waits."""
+    match judge_slot(view, slot, now):
+        case Holds(ready_at=ready_at):
+            return max(0.0, ready_at - now)
+        case _:
+            return None
+
+
 def _runs_below(slot, epoch):
     if slot.inherited:
         return True
--- a/sesamejunction/model/owning.py
+++ b/sesamejunction/model/owning.py
@@ -65,10 +65,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotServing:
-    """The node does not own the slot; ``owner`` is who it believes does."""
+    """The node does not own the slot; ``owner`` is who it believes does.
+
+    ``ready_in_s`` is set while this node waits for the hold of a former
+    owner: the seconds until it serves the slot.
+    """
 
     owner: int | None
     epoch: int
+    ready_in_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/tasks/owners.py
+++ b/sesamejunction/tasks/owners.py
@@ -140,7 +140,8 @@
             entered = ownership.enter_slot(slot, question.request_id, now)
         if entered is None:
             owner = ownership.find_owner(self._view, slot, now)
-            return owning.NotServing(owner, slot.arranged.epoch)
+            ready_in_s = ownership.find_wait(self._view, slot, now)
+            return owning.NotServing(owner, slot.arranged.epoch, ready_in_s)
         self._slots[question.service, question.slot] = entered
         end = self._lease.end
         held = slot.service in self._view.unfenced
--- a/test/test_journey.py
+++ b/test/test_journey.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sesamejunction.commands import ports as porting
+from sesamejunction.commands import requests as commands
 from sesamejunction.commands import serving
 from sesamejunction.commands import uploads
 from sesamejunction.decisions import attempts
@@ -20,6 +21,7 @@
 from sesamejunction.model import state
 from sesamejunction.tasks import chooser
 from sesamejunction.tasks import clock
+from test import fakes
 from test import journeys
 
 CODE = requests.Code
@@ -277,6 +279,46 @@
     running.cancel()
 
 
+class Holding(journeys.Wire):
+    """A successor that waits for a hold and says for how long."""
+
+    def __init__(self, clock, ready_at):
+        super().__init__()
+        self._clock = clock
+        self._ready_at = ready_at
+
+    async def send(self, where, head, upload):
+        self.sent.append(where)
+        left_s = self._ready_at - self._clock()
+        if left_s <= 0:
+            return journeys.answer()
+        return journeys.decline(
+            requests.Code.NOT_OWNER, owner='10.0.0.1:2', retry_after_s=left_s
+        )
+
+
+# Guards against a key that is served up to a whole pause after its successor
+# is ready, of the second that a takeover may last: seconds of hold left.
+@pytest.mark.parametrize('hold_s', [0.005, 0.02, 0.15, 0.25, 0.31])
+async def test_request_is_sent_when_the_hold_ends(monkeypatch, hold_s):
+    clock = fakes.Clock()
+    ready_at = clock() + hold_s
+
+    async def advance(delay_s):
+        clock.now += delay_s
+
+    monkeypatch.setattr(asyncio, 'sleep', advance)
+    ports = journeys.make_ports(
+        clock=clock,
+        chooser=journeys.Chooser([2] * 30),
+        peers=Holding(clock, ready_at),
+    )
+    assert await journeys.route(ports) == 'answer'
+    # The clock goes on by 1 ms with each look at it.
+    assert clock() <= ready_at + commands.FIRST_PAUSE_S + 0.01
+    assert len(ports.peers.sent) < 16
+
+
 async def count_attempts(requests_made):
     total = 0
     budget = attempts.Budget()
