--- a/test/process/harness.py
+++ b/test/process/harness.py
@@ -53,6 +53,18 @@
     )
 
 
+def read_log(fleet, name: str) -> list[dict]:
+    """Return the lines that a node has logged, oldest first."""
+    text = (fleet.logs / f'node-{name}.log').read_text()
+    found = []
+    for line in text.splitlines():
+        # Other lines come from the interpreter, and the last line may be
+        # half written.
+        with contextlib.suppress(json.JSONDecodeError):
+            found.append(json.loads(line))
+    return found
+
+
 class Harness:
     """A running fleet with its operators' and test controls."""
 
@@ -99,14 +111,7 @@
 
     def read_log(self, name: str) -> list[dict]:
         """Return the lines that a node has logged, oldest first."""
-        text = (self.fleet.logs / f'node-{name}.log').read_text()
-        found = []
-        for line in text.splitlines():
-            # Other lines come from the interpreter, and the last line may
-            # be half written.
-            with contextlib.suppress(json.JSONDecodeError):
-                found.append(json.loads(line))
-        return found
+        return read_log(self.fleet, name)
 
     def count_lost_leases(self) -> dict[str, int]:
         """Return how often each node has lost its lease, by its log."""
--- a/test/process/judge.py
+++ b/test/process/judge.py
@@ -72,8 +72,13 @@
         if not one.answered:
             late = f'{one.latency:.3f} s'
             print(one.at, one.call.base, read_code(one), late, one.text)
-    for name in running.spots:
-        for line in running.read_log(name):
+    print_lines(running.fleet, running.spots, since)
+
+
+def print_lines(fleet, names, since) -> None:
+    """Print what nodes have logged of slots and leases since a time."""
+    for name in names:
+        for line in harness.read_log(fleet, name):
             if line['timestamp'] >= since and line.get(
                 'message_type', ''
             ).startswith(('owner: ', 'lease: ', 'node: ')):
--- a/test/process/test_faults.py
+++ b/test/process/test_faults.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 import signal
+import time
 
 import aiohttp
 import pytest
@@ -198,7 +199,7 @@
     former = {
         one.incarnation for one in current.members.values() if one.name in lost
     }
-    began = load.read_clock()
+    began, began_wall = load.read_clock(), time.time()
     async with make_load(running) as sent:
         await asyncio.sleep(BEFORE_S)
         await running.set_log_fault(down=row.log_down)
@@ -223,6 +224,8 @@
     after = running.count_lost_leases()
     without = [name for name in leases if after[name] > leases[name]]
     print(f'{lost} lost, {choice.stopped} stop too, leases ended: {without}')
+    if not max(taken.values()) < BOUND_S:
+        judge.print_lines(running.fleet, running.spots, began_wall)
     assert set(exited) <= set(choice.stopped)
     check_survivors(
         running,
--- a/test/process/test_rolling.py
+++ b/test/process/test_rolling.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 
 import pytest
 import pytest_asyncio
@@ -56,7 +57,7 @@
     """Results of a rolling restart of all nodes under load."""
     await judge.wait_settled(running)
     codes = []
-    began = load.read_clock()
+    began, began_wall = load.read_clock(), time.time()
     async with make_load(running) as sent:
         for name in running.spots:
             running.signal_node(name, signal.SIGTERM)
@@ -65,6 +66,8 @@
             await judge.wait_settled(running)
     print(f'rolling restart took {load.read_clock() - began:.1f} s')
     judge.print_results('rolling', sent.results)
+    if any(not (one.answered or one.not_run) for one in sent.results):
+        judge.print_causes(running, sent.results, began_wall)
     assert codes == [0] * len(running.spots)
     await judge.check_histories(running, began, sent.results)
     return sent.results
--- a/test/process/test_takeover.py
+++ b/test/process/test_takeover.py
@@ -16,6 +16,7 @@
 from sesamejunction.model import records
 from sesamejunction.model import state
 from sesamejunction.tasks import clock
+from test.process import judge
 
 # Stated target: a key is served again within 1 s of a loss.
 BOUND_S = 1.0
@@ -55,6 +56,9 @@
         except (aiohttp.ClientError, TimeoutError):
             return None
         found = {one['task']: one['detail'] for one in body['tasks']}
+        if found['owners'] is None:
+            # The task did not answer the dump in time.
+            return None
         held = found['owners']['held']
         return {(one['service'], one['slot']): one['since'] for one in held}
 
@@ -144,6 +148,7 @@
     assert held
     former = (await watcher.read_status(lost))['incarnation']
     lost_at = clock.read_boot_clock()
+    lost_wall = time.time()
     process.send_signal(way)
     found = await watcher.wait_for(
         lambda found: held.keys() <= set().union(*found), names[1:], 5.0
@@ -164,6 +169,10 @@
     changed = await watcher.wait_for_status(
         lost, lambda one: one['incarnation'] != former
     )
+    if not taken < BOUND_S:
+        late = {slot: at - lost_at for slot, at in since.items()}
+        print('taken after', {slot: late.get(slot) for slot in held})
+        judge.print_lines(watcher.running, names, lost_wall - 1.0)
     assert found is not None, 'slots were not taken over'
     assert taken < BOUND_S
     assert ended, 'the lost node has not noticed its end'
