--- /dev/null
+++ b/test/test_hostedmetrics.py
@@ -0,0 +1,82 @@
+"""What a hosted node exposes can be read by a monitoring system."""
+
+import collections
+import re
+
+import pytest
+
+from sesamejunction.border import hostedmetrics
+
+SAMPLE = re.compile(r'(\w+)(?:\{(.*)\})? (\S+)')
+LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
+TIMES = ('request', 'queue', 'target', 'hop')
+
+
+def parse(text):
+    """Return the kinds of metrics and their samples by name."""
+    kinds, samples = {}, collections.defaultdict(list)
+    for line in text.splitlines():
+        if line.startswith('# TYPE '):
+            name, kind = line.removeprefix('# TYPE ').split()
+            kinds[name] = kind
+        elif line and not line.startswith('#'):
+            name, labels, value = SAMPLE.fullmatch(line).groups()
+            found = dict(LABEL.findall(labels or ''))
+            samples[name].append((found, float(value)))
+    return kinds, samples
+
+
+@pytest.fixture
+def exposed():
+    metrics = hostedmetrics.HostedMetrics()
+    for reason in ('', 'over-rate', 'overloaded', 'overloaded'):
+        outcome = 'not-run' if reason else 'answered'
+        metrics.requests.inc({'outcome': outcome, 'reason': reason})
+    metrics.hosted.inc({'outcome': 'answered'})
+    metrics.log_calls.inc({'outcome': 'a "quoted" \\ one'})
+    metrics.key_moves.inc({})
+    for name in TIMES:
+        for seconds in (0.004, 0.03, 7.0):
+            metrics.observe(f'{name}_seconds', seconds, outcome='answered')
+    for name in ('declared_age_seconds', 'hold_margin_seconds'):
+        metrics.set(name, 0.5)
+    return parse(metrics.render())
+
+
+def test_names_tell_kind_and_unit(exposed):
+    # Guards against counters and times whose names do not say what they are.
+    kinds, _ = exposed
+    assert all(name.startswith('sesamejunction_') for name in kinds)
+    for name, kind in kinds.items():
+        assert name.endswith('_total') is (kind == 'counter'), name
+        assert kind != 'histogram' or name.endswith('_seconds'), name
+
+
+@pytest.mark.parametrize('name', TIMES)
+def test_histograms_add_up(exposed, name):
+    # Guards against buckets from which no quantile can be computed.
+    _, samples = exposed
+    full = f'sesamejunction_{name}_seconds'
+    buckets = samples[f'{full}_bucket']
+    counts = [count for _, count in buckets]
+    assert counts == sorted(counts)
+    assert [labels['le'] for labels, _ in buckets][-1] == '+Inf'
+    assert counts[0] == 1
+    assert counts[-1] == 3 == samples[f'{full}_count'][0][1]
+    assert samples[f'{full}_sum'][0][1] == pytest.approx(7.034)
+
+
+# Guards against a refusal within the rate that cannot be told from one of an
+# organisation over its rate: labels, requests counted.
+@pytest.mark.parametrize(
+    ('outcome', 'reason', 'count'),
+    [
+        ('answered', '', 1),
+        ('not-run', 'over-rate', 1),
+        ('not-run', 'overloaded', 2),
+    ],
+)
+def test_requests_by_outcome_and_reason(exposed, outcome, reason, count):
+    _, samples = exposed
+    labels = {'outcome': outcome, 'reason': reason}
+    assert (labels, count) in samples['sesamejunction_requests_total']
