Refuse queued requests once their wait has become too long

The wait is expected once, when a request is queued; later ones of other organisations and ranks, and slower work, make it longer. Change: while a queue is not empty it is looked through every 0.05 s. A request that could not start in time by the plain average is refused then.

--- a/sesamejunction/decisions/fairness.py
+++ b/sesamejunction/decisions/fairness.py
@@ -60,6 +60,11 @@
         self._advance(found.start)
         return found
 
+    def list_waiting(self) -> list[Waiting]:
+        """Return the queued requests, the next one first."""
+        waiting = (one for line in self._lines.values() for one in line)
+        return sorted(waiting, key=lambda one: one.start)
+
     def remove(self, organisation, request_id) -> Waiting | None:
         """Remove and return a request, None when it does not wait."""
         for one in self._lines.get(organisation, ()):
--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -1,6 +1,7 @@
 """Order of the requests at one target, by rank, and who is refused."""
 
 import collections
+import collections.abc
 import dataclasses
 import typing
 
@@ -116,6 +117,14 @@
             self._ranks[entrant.rank].remove(entrant.organisation, request_id)
         return entrant
 
+    def list_waiting(self) -> list[Entrant]:
+        """Return all requests, the next one first."""
+        return [
+            one.item
+            for rank in sorted(self._ranks)
+            for one in self._ranks[rank].list_waiting()
+        ]
+
     def drain(self) -> list[Entrant]:
         """Remove and return all requests."""
         found = list(self._entrants.values())
@@ -161,6 +170,42 @@
         return self._sent[count - int(limit)] + COLD_WINDOW_S - now
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Late:
+    """A queued request that cannot start in time, and why; in seconds."""
+
+    entrant: Entrant
+    ahead: int
+    needed_s: float
+
+
+def list_late(
+    waiting: collections.abc.Iterable[Entrant],
+    slots: int,
+    times: ServiceTimes,
+    cold_rate: float,
+    now: float,
+) -> list[Late]:
+    """Return the queued requests that would start too late.
+
+    ``waiting`` has the next one first; those that are late do not count for
+    those behind them. The wait is the plain average without a factor, since
+    giving up a request that would have started in time costs more than a
+    late refusal. ``cold_rate`` is 0 for a target that is warm.
+    """
+    late, ahead = [], 0
+    for entrant in waiting:
+        wait_s = expect_wait(ahead, slots, times.mean, 1.0)
+        if cold_rate:
+            wait_s = max(wait_s, ahead / cold_rate)
+        needed_s = wait_s + times.expect(entrant.route) * START_PART
+        if now + needed_s > entrant.deadline:
+            late.append(Late(entrant, ahead, needed_s))
+        else:
+            ahead += 1
+    return late
+
+
 def expect_wait(
     ahead: int, slots: int, mean_s: float, factor: float = WAIT_FACTOR
 ) -> float:
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -24,6 +24,10 @@
 # A node that is replaced finishes its requests and starts anew in about this
 # time; the keys of its target are served again then.
 RESTART_S = 1.0
+# Queued requests are looked through this often while there are any. A wait is
+# tenths of a second, so one that has become too long ends soon.
+REVIEW_S = 0.05
+IDLE_S = 1.0
 
 refuse = porting.refuse
 
@@ -32,6 +36,7 @@
     """Owns the places at the target and the queue for them."""
 
     name = 'gate'
+    tick_s = IDLE_S
 
     def __init__(self, service: str, holdings, clock=clock.read_boot_clock):
         super().__init__()
@@ -85,6 +90,11 @@
             case journaling.StateChanged(state=current):
                 self._state = current
 
+    async def tick(self) -> None:
+        """Refuse requests whose wait has become too long."""
+        self._refuse_late()
+        self.tick_s = REVIEW_S if self._queue else IDLE_S
+
     def _report_keys(self) -> leasing.KeyLoadReport:
         return leasing.KeyLoadReport(
             self._keys.list_segments(self._holdings.rows, self._clock()),
@@ -198,8 +208,40 @@
             )
         )
         self._wake_later(now)
+        self.tick_within(REVIEW_S)
         return reply
 
+    def _refuse_late(self) -> None:
+        now, slots = self._clock(), self._standing.slots
+        late = scheduling.list_late(
+            self._queue.list_waiting(),
+            slots,
+            self._times,
+            self._find_cold_rate(now),
+            now,
+        )
+        for one in late:
+            entrant = one.entrant
+            self._queue.remove(entrant.request_id)
+            if entrant.reply.done():
+                continue
+            self._factor.count_expiry()
+            inputs = {
+                'ahead': one.ahead,
+                'running': len(self._running),
+                'slots': slots,
+                'needed_s': round(one.needed_s, 3),
+                'left_s': round(entrant.deadline - now, 3),
+            }
+            entrant.reply.set_result(
+                refuse(
+                    requests.Code.OVERLOADED,
+                    'the wait has become too long; retry later',
+                    retry_after_s=scheduling.SHORTEST_RETRY_S,
+                    inputs=tuple(inputs.items()),
+                )
+            )
+
     def _start(self, entrant, now) -> gating.Admitted:
         self._running[entrant.request_id] = entrant, now
         self._sent.add(now)
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -104,6 +104,8 @@
         self._number = 0
         self._waiting = {}
         self.held = []
+        self.refused_after = []
+        self.in_time = 0
         self.at_once = 0
         self.started = 0
         self.busy_s = 0.0
@@ -112,13 +114,19 @@
         """Play arrivals and ends of work."""
         for name in self._rates:
             self._push(1000.0, ('arrive', name))
+        self._push(1000.0, ('review', None))
         while self._events[0][0] < 1000.0 + seconds:
             self._clock.now, _, (kind, one) = heapq.heappop(self._events)
             match kind:
                 case 'arrive':
                     await self._arrive(one)
                 case 'end':
+                    self.in_time += one.latency_s is not None
                     await self._made.handle(one)
+                case 'review':
+                    await self._made.tick()
+                    at = self._clock.now + scheduler.REVIEW_S
+                    self._push(at, ('review', None))
                 case 'expire' if one in self._waiting:
                     self.held.append(self.LEFT_S)
                     del self._waiting[one]
@@ -155,10 +163,14 @@
         for name, (waiting, deadline) in list(self._waiting.items()):
             if waiting.done():
                 del self._waiting[name]
-                if isinstance(waiting.result(), gating.Admitted):
-                    self._begin(name, deadline)
-                else:
-                    self.held.append(self.LEFT_S)
+                left_s = deadline - self._clock.now
+                match waiting.result():
+                    case gating.Admitted():
+                        self._begin(name, deadline)
+                    case requests.Refusal(code=requests.Code.OVERLOADED):
+                        self.refused_after.append(self.LEFT_S - left_s)
+                    case _:
+                        self.held.append(self.LEFT_S)
 
     def _begin(self, name, deadline):
         self.started += 1
@@ -182,7 +194,45 @@
     # Waiting pays for nine of ten that are not refused at once, and the
     # target is not left idle for it.
     assert server.busy_s >= 0.85 * Server.SLOTS * 60.0
-    assert len(server.held) <= 0.1 * (server.started + len(server.held))
+    vain = len(server.held) + len(server.refused_after)
+    assert vain <= 0.1 * (server.started + vain)
+    print(f'in time {server.in_time}, at once {server.at_once}, vain {vain}')
+    # Of those that wait in vain nearly all learn it before the end, and well
+    # before three quarters of their time, which count as all of it.
+    assert len(server.held) <= 0.01 * server.started
+    mean_s = sum(server.refused_after) / len(server.refused_after)
+    assert mean_s <= 0.75 * Server.LEFT_S
+
+
+TIMES = scheduling.ServiceTimes()
+
+
+def make_entrant(number, left_s, rank=1):
+    return scheduling.Entrant(
+        f'r{number}', 'one', 'order', rank, 1000.0 + left_s
+    )
+
+
+# Guards against requests that are kept although they cannot start in time,
+# and against giving up those behind them: seconds left in the order of the
+# queue, places, requests a second that a cold target takes, numbers of those
+# that are late. Work takes 0.05 s.
+@pytest.mark.parametrize(
+    ('left_s', 'slots', 'cold_rate', 'late'),
+    [
+        pytest.param([1.0] * 9, 1, 0.0, [], id='time enough'),
+        pytest.param([0.08] * 5, 1, 0.0, [1, 2, 3, 4], id='one place'),
+        pytest.param([0.08] * 5, 2, 0.0, [2, 3, 4], id='two places'),
+        pytest.param([0.01, 0.08, 0.5], 1, 0.0, [0], id='late ones first'),
+        pytest.param([0.6] * 4, 2, 4.0, [3], id='cold'),
+    ],
+)
+def test_requests_that_cannot_start_in_time(left_s, slots, cold_rate, late):
+    waiting = [make_entrant(*one) for one in enumerate(left_s)]
+    found = scheduling.list_late(waiting, slots, TIMES, cold_rate, 1000.0)
+    assert [one.entrant.request_id for one in found] == [
+        f'r{one}' for one in late
+    ]
 
 
 async def test_higher_rank_goes_first():
