A successor's time counts once for a request that waits

Change: the named time ends one pause; a new refusal names a new one. Measured: test_successor_that_goes_is_not_asked_all_the_time fails before.

--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -278,6 +278,8 @@
             # by almost its length.
             left_s = max(FIRST_PAUSE_S, self._ready_at - ports.clock())
             pause = min(pause, left_s)
+            # It counts once: the successor may be gone by then.
+            self._ready_at = None
         if ports.clock() + pause >= self._head.deadline:
             return False
         if not ports.room.enter():
--- a/test/test_journey.py
+++ b/test/test_journey.py
@@ -280,16 +280,23 @@
 
 
 class Holding(journeys.Wire):
-    """A successor that waits for a hold and says for how long."""
+    """A successor that waits for a hold and says for how long.
 
-    def __init__(self, clock, ready_at):
+    From ``ready_at`` to ``back_at`` it cannot be reached.
+    """
+
+    def __init__(self, clock, ready_at, back_at=0.0):
         super().__init__()
         self._clock = clock
         self._ready_at = ready_at
+        self._back_at = back_at
 
     async def send(self, where, head, upload):
         self.sent.append(where)
-        left_s = self._ready_at - self._clock()
+        now = self._clock()
+        left_s = self._ready_at - now
+        if left_s <= 0 and now < self._back_at:
+            raise journeys.AWAY
         if left_s <= 0:
             return journeys.answer()
         return journeys.decline(
@@ -319,6 +326,24 @@
     assert len(ports.peers.sent) < 16
 
 
+async def test_successor_that_goes_is_not_asked_all_the_time(monkeypatch):
+    # Guards against all attempts spent in a few tenths of a second after a
+    # successor has said when it serves and is lost before.
+    clock = fakes.Clock()
+    ready_at, back_at = clock() + 0.05, clock() + 1.2
+
+    async def advance(delay_s):
+        clock.now += delay_s
+
+    monkeypatch.setattr(asyncio, 'sleep', advance)
+    ports = journeys.make_ports(
+        clock=clock,
+        chooser=journeys.Chooser([2] * 60, retries=60),
+        peers=Holding(clock, ready_at, back_at),
+    )
+    assert await journeys.route(ports) == 'answer'
+
+
 async def count_attempts(requests_made):
     total = 0
     budget = attempts.Budget()
