--- a/test/test_journey.py
+++ b/test/test_journey.py
@@ -108,7 +108,7 @@
 
 # Guards against runs above an organisation's rate (H6): after an attempt that
 # may have run, the next one takes a token of its own. Replies of the shares
-# task, of the peers, members offered, the outcome, attempts, tokens asked for.
+# task, of the peers, the outcome, attempts, tokens asked for.
 @pytest.mark.parametrize(
     ('shares', 'replies', 'expected', 'count', 'asked'),
     [
