Log lateness of the loop, bytes on the lines and dropped reads

The incident's hypotheses could not be told apart: no line or metric showed how late a node's own loop is, how long a connection takes, what waits on its line, or that a read of the store was dropped because a peer was ahead.

--- a/sesamejunction/border/framing.py
+++ b/sesamejunction/border/framing.py
@@ -37,10 +37,14 @@
 
 
 class FrameProtocol(asyncio.Protocol):
-    """Cuts a byte stream into frames; subclasses take them."""
+    """Cuts a byte stream into frames; subclasses take them.
 
-    def __init__(self):
+    ``traffic`` counts the bytes, if given.
+    """
+
+    def __init__(self, traffic=None):
         self.transport = None
+        self._traffic = traffic
         self._buffer = bytearray()
 
     def connection_made(self, transport):
@@ -52,6 +56,8 @@
 
     def data_received(self, data):
         """Take all whole frames; a frame that cannot be read ends all."""
+        if self._traffic is not None:
+            self._traffic.received += len(data)
         buffer = self._buffer
         buffer += data
         place = 0
@@ -80,6 +86,8 @@
         if self.transport is None or self.transport.is_closing():
             return
         data = ENCODER.encode(frame)
+        if self._traffic is not None:
+            self._traffic.sent += LENGTH.size + len(data)
         self.transport.write(LENGTH.pack(len(data)) + data)
 
     def take_frame(self, frame) -> None:
--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -39,6 +39,11 @@
             'log_calls_total',
             "Calls to the platform's log by outcome",
         )
+        self.reads_dropped = self._add(
+            aioprometheus.Counter,
+            'log_reads_dropped_total',
+            'Reads of a topic that were dropped because a peer was ahead',
+        )
         self.key_moves = self._add(
             aioprometheus.Counter,
             'key_rows_granted_total',
@@ -53,6 +58,8 @@
                 ('queue_seconds', 'Wait for a place at the target'),
                 ('target_seconds', 'Time at the target'),
                 ('hop_seconds', 'Time of requests sent to another node'),
+                ('connect_seconds', 'Time to connect to a node, by outcome'),
+                ('loop_late_seconds', 'Lateness of the event loop'),
             )
         }
         self._gauges = {
@@ -65,6 +72,8 @@
                 ('declared_age_seconds', 'Age of the declarations copy'),
                 ('plan_age_seconds', 'Age of the copy of the key plans'),
                 ('hold_margin_seconds', 'Time left of the latest hold'),
+                ('link_sent_bytes', 'Sent to other nodes since the start'),
+                ('link_received_bytes', 'Received from other nodes'),
             )
         }
 
--- a/sesamejunction/platform/store.py
+++ b/sesamejunction/platform/store.py
@@ -53,6 +53,8 @@
         self._count = count
         self._base = f'http://{address}'
         self._session = None
+        # Bytes of the body that is being read, or was read last.
+        self.received = 0
 
     async def __aenter__(self):
         await super().__aenter__()
@@ -90,7 +92,7 @@
                     total=limit_s, sock_connect=CONNECT_S
                 ),
             ) as reply:
-                body = await reply.read()
+                body = await self._read_body(reply)
                 self._count(str(reply.status))
                 return reply.status, body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -100,6 +102,14 @@
                 f'address and the network'
             ) from error
 
+    async def _read_body(self, reply) -> bytes:
+        self.received = 0
+        chunks = []
+        async for chunk in reply.content.iter_any():
+            self.received += len(chunk)
+            chunks.append(chunk)
+        return b''.join(chunks)
+
 
 class Topic:
     """One keyed topic of the store."""
@@ -108,6 +118,11 @@
         self._store = store
         self.name = name
 
+    @property
+    def received(self) -> int:
+        """Return the bytes that the present read has brought so far."""
+        return self._store.received
+
     async def read_newest(self) -> registry.Copy:
         """Return the newest record of each key.
 
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -5,6 +5,7 @@
 
 import eliot
 
+from sesamejunction.border import logs
 from sesamejunction import errors
 from sesamejunction.model import registry
 from sesamejunction.tasks import actor
@@ -65,11 +66,13 @@
     """Keeps a copy of a topic; publishes it to ``subscribers``.
 
     ``view`` is read by other tasks without a message; only this task
-    writes it. ``count_peers`` returns the peers heard of lately.
+    writes it. ``count_peers`` returns the peers heard of lately;
+    ``count_dropped`` is called with the labels of a read that was dropped.
     """
 
-    def __init__(self, topic, subscribers, count_peers):
+    def __init__(self, topic, subscribers, count_peers, count_dropped):
         super().__init__()
+        self._count_dropped = count_dropped
         self.name = f'follower {topic.name}'
         self.topic_name = topic.name
         self._topic = topic
@@ -78,6 +81,8 @@
         self._copy = None
         self._reading = None
         self._connected = None
+        self._read_since = 0.0
+        self._lines = logs.LineLimit()
         self.view = PositionView()
 
     async def handle(self, message):
@@ -124,7 +129,7 @@
 
     async def _read(self) -> bool:
         """Read once; return whether records came."""
-        sent_at = clock.read_boot_clock()
+        sent_at = self._read_since = clock.read_boot_clock()
         if self._copy is None:
             self._replace(await self._topic.read_newest())
             self._advance(sent_at)
@@ -181,7 +186,20 @@
             # not older.
             self._advance(position.as_of)
         elif self._reading is not None and self._connected:
-            self._reading.cancel()
+            self._drop_read(position)
+
+    def _drop_read(self, position) -> None:
+        """Begin a new read, since a peer knows more than this one brought."""
+        self._lines.log_message(
+            'journal: read dropped',
+            topic=self._topic.name,
+            end=self.view.end,
+            peer_end=position.end,
+            read_s=round(clock.read_boot_clock() - self._read_since, 3),
+            received=self._topic.received,
+        )
+        self._count_dropped({'topic': self._topic.name})
+        self._reading.cancel()
 
     def _note_contact(self, connected, reason) -> None:
         if connected == self._connected:
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -28,10 +28,14 @@
 
 
 class Link(framing.FrameProtocol):
-    """The connecting side of one connection."""
+    """The connecting side of one connection.
 
-    def __init__(self):
-        super().__init__()
+    ``vitals`` says how this node itself fares.
+    """
+
+    def __init__(self, vitals):
+        super().__init__(vitals.traffic)
+        self._vitals = vitals
         self._ids = itertools.count(1)
         self._open = {}
         self._heard_at = 0.0
@@ -43,6 +47,13 @@
         """Return whether new exchanges may start."""
         return not self._retired and self._is_open
 
+    @property
+    def buffered(self) -> int:
+        """Return the bytes that wait for the peer or the line."""
+        if not self._is_open:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     @property
     def _is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
@@ -93,6 +104,8 @@
             'peer: connection retired',
             silent_s=round(silent_s, 2),
             exchanges=len(self._open),
+            buffered=self.buffered,
+            **self._vitals.describe(),
         )
         for future, repeatable in list(self._open.values()):
             if repeatable:
@@ -126,8 +139,9 @@
     ``serve`` handles work for this node itself, without a connection.
     """
 
-    def __init__(self, incarnation: int, host: str, metrics):
+    def __init__(self, incarnation: int, host: str, metrics, vitals):
         self._metrics = metrics
+        self._vitals = vitals
         self._incarnation = incarnation
         self._host = host
         self._links = {}
@@ -163,6 +177,9 @@
                 service=head.service,
                 left_s=round(head.deadline - clock.read_boot_clock(), 3),
                 reason=str(error),
+                connecting=len(self._connecting),
+                buffered=sum(one.buffered for one in self._links.values()),
+                **self._vitals.describe(),
             )
             raise
 
@@ -234,12 +251,19 @@
 
     async def _open(self, member, key) -> Link:
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_S):
-            _, link = await loop.create_connection(
-                Link,
-                member.host,
-                member.peer_port,
-                local_addr=(self._host, 0),
+        started, outcome = loop.time(), 'failed'
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                _, link = await loop.create_connection(
+                    lambda: Link(self._vitals),
+                    member.host,
+                    member.peer_port,
+                    local_addr=(self._host, 0),
+                )
+            outcome = 'connected'
+        finally:
+            self._metrics.observe(
+                'connect_seconds', loop.time() - started, outcome=outcome
             )
         tag = framing.tag_hello(
             self.secret, self._incarnation, member.incarnation
@@ -276,6 +300,7 @@
     secret: bytes
     host_request: collections.abc.Callable
     answer: collections.abc.Callable
+    traffic: object = None
     connections: set = dataclasses.field(default_factory=set)
 
 
@@ -283,7 +308,7 @@
     """The accepting side of one connection."""
 
     def __init__(self, ports: ServerPorts):
-        super().__init__()
+        super().__init__(ports.traffic)
         self._ports = ports
         self._known = False
         self._running = {}
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -44,6 +44,7 @@
 from sesamejunction.tasks import shares
 from sesamejunction.tasks import targetlease
 from sesamejunction.tasks import terms
+from sesamejunction.tasks import vitals
 from sesamejunction.ui import hostedanswers
 
 # Requests that may wait here while the owner of their key changes.
@@ -64,6 +65,7 @@
         self._stack: contextlib.AsyncExitStack = stack
         self._stopping = False
         self._metrics = hostedmetrics.HostedMetrics()
+        self._vitals = vitals.Vitals(vitals.Traffic(), self._metrics)
 
     async def build(self, group) -> None:
         """Build and start all tasks; waits for the platform's store."""
@@ -80,7 +82,9 @@
         self._fleet_topic = store.Topic(fleet_store, store.FLEET_TOPIC)
         secret = await self._find_secret()
         self._links = await enter(
-            links.Links(self._incarnation, self._host, self._metrics)
+            links.Links(
+                self._incarnation, self._host, self._metrics, self._vitals
+            )
         )
         self._links.secret = secret
         self._build_views()
@@ -97,6 +101,7 @@
         await self._open_peer_port()
         for task in self._list_tasks():
             group.spawn(task.run())
+        group.spawn(self._vitals.run())
         group.spawn(self._declared.follow())
         group.spawn(self._fleet.follow())
 
@@ -141,13 +146,14 @@
             self._settings.peer_port,
         )
         count = self._presence_view.count_heard
+        dropped = self._metrics.reads_dropped.inc
         # The registry is subscribed to both once it is built.
         self._declared_subscribers = []
         self._declared = follower.Follower(
-            self._operator_topic, self._declared_subscribers, count
+            self._operator_topic, self._declared_subscribers, count, dropped
         )
         self._fleet = follower.Follower(
-            self._fleet_topic, self._declared_subscribers, count
+            self._fleet_topic, self._declared_subscribers, count, dropped
         )
         self._fetchers = tuple(
             copies.Copies(one, self._links)
@@ -279,6 +285,7 @@
             self._links.secret,
             self._host_request,
             self._answer,
+            self._vitals.traffic,
         )
         listener = await loop.create_server(
             lambda: links.LinkServer(ports),
@@ -346,6 +353,7 @@
         found = {
             'declared': current.declared_version,
             'declared_age_s': round(now - self._declared.view.as_of, 2),
+            **self._vitals.describe(),
         }
         plan = current.ranges.get(head.service)
         owned = plan and head.route_key and plan.find(int(head.route_key))
@@ -372,6 +380,8 @@
             'declared_age_seconds': now - self._declared.view.as_of,
             'plan_age_seconds': now - self._fleet.view.as_of,
             'hold_margin_seconds': self._lease.holdings.until - now,
+            'link_sent_bytes': self._vitals.traffic.sent,
+            'link_received_bytes': self._vitals.traffic.received,
         }
         for name, value in gauges.items():
             self._metrics.set(name, value)
--- a/test/test_hostedmetrics.py
+++ b/test/test_hostedmetrics.py
@@ -9,7 +9,7 @@
 
 SAMPLE = re.compile(r'(\w+)(?:\{(.*)\})? (\S+)')
 LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
-TIMES = ('request', 'queue', 'target', 'hop')
+TIMES = ('request', 'queue', 'target', 'hop', 'connect', 'loop_late')
 
 
 def parse(text):
@@ -35,6 +35,7 @@
     metrics.hosted.inc({'outcome': 'answered'})
     metrics.log_calls.inc({'outcome': 'a "quoted" \\ one'})
     metrics.key_moves.inc({})
+    metrics.reads_dropped.inc({'topic': 'one'})
     for name in TIMES:
         for seconds in (0.004, 0.03, 7.0):
             metrics.observe(f'{name}_seconds', seconds, outcome='answered')
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -249,7 +249,7 @@
     batch = registry.Batch(
         (registry.Entry('a', b''), registry.Entry('b', b'2')), 3
     )
-    one = follower.Follower(FakeTopic([batch]), (), lambda: 9)
+    one = follower.Follower(FakeTopic([batch]), (), lambda: 9, lambda _: None)
     await one._read()
     await one._read()
     copy = await one.handle(registry.GetCopy())
@@ -290,7 +290,7 @@
     every_s, count, reads
 ):
     topic = GrowingTopic(every_s, count)
-    one = follower.Follower(topic, (), lambda: 9)
+    one = follower.Follower(topic, (), lambda: 9, lambda _: None)
     following = asyncio.ensure_future(one.follow())
     try:
         async with asyncio.timeout(every_s * count + 1.0):
@@ -314,7 +314,7 @@
 )
 async def test_peers_make_a_copy_current(end, as_of, expected):
     """Only a peer that knows nothing newer says that the copy is current."""
-    one = follower.Follower(FakeTopic([]), (), lambda: 9)
+    one = follower.Follower(FakeTopic([]), (), lambda: 9, lambda _: None)
     await one._read()
     one.view.as_of = 10.0
     await one.handle(registry.PeerPosition(1, end, as_of))
