Ask a silent peer for a sign of life before giving its connection up

Callers got 502 for requests that their target was running or had answered, 0.8 s after they began, while nothing was cut; two of them after a SIGTERM of their node (LOST).

Cause: a connection that owes a reply is looked at every 0.4 s. It was asked for a sign of life if the silence was 0.4 s by the loop's clock, and given up at 0.8 s. The loop keeps time in milliseconds, and the difference of two times may be a rounding error short of 0.4, so the first look often did not ask and the second gave up a peer that was never asked.

A connection is judged now by what came since the last look, and by whether the peer was asked. An exchange that follows an idle time no longer adds a second timer.

--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -39,6 +39,9 @@
         self._ids = itertools.count(1)
         self._open = {}
         self._heard_at = 0.0
+        # What has happened since the last look at this connection.
+        self._has_heard = False
+        self._has_asked = False
         self._watch = None
         self._retired = False
 
@@ -70,6 +73,9 @@
         future = loop.create_future()
         if not self._open:
             self._heard_at = loop.time()
+            self._has_heard = self._has_asked = False
+            if self._watch is not None:
+                self._watch.cancel()
             self._watch = loop.call_later(SILENT_S, self._look)
         self._open[number] = future, repeatable
         return number, future
@@ -83,6 +89,7 @@
     def take_frame(self, frame) -> None:
         """Give a reply to the exchange that waits for it."""
         self._heard_at = asyncio.get_running_loop().time()
+        self._has_heard = True
         future, _ = self._open.get(frame.id, (None, False))
         if future is not None and not future.done():
             future.set_result(frame)
@@ -112,15 +119,21 @@
                 fail_exchange(future)
 
     def _look(self) -> None:
-        """Find out whether a connection that owes replies still works."""
+        """Find out whether a connection that owes replies still works.
+
+        It is judged by what came since the last look, not by the clock: a
+        timer may fire before its time by the clock's rounding, and a peer
+        that was never asked would then be taken for silent.
+        """
         if not self._open or not self._is_open:
             return
         loop = asyncio.get_running_loop()
-        silent = loop.time() - self._heard_at
-        if silent >= 2 * SILENT_S:
-            if not self._retired:
-                self._retire(silent)
-        if silent >= SILENT_S:
+        if self._has_heard:
+            self._has_heard = self._has_asked = False
+        else:
+            if self._has_asked and not self._retired:
+                self._retire(loop.time() - self._heard_at)
+            self._has_asked = True
             self.send_frame(linking.Ping(0))
         self._watch = loop.call_later(SILENT_S, self._look)
 
