Let the scheduler judge a request without admitting it

Cause: whether the target would refuse a request is known only when the request is admitted, so its body has already used the line of the node.

Change: gating.Judge returns the refusal that Admit would give now and the expected time at the target; it takes no place and does not queue. Requests whose bodies are on their way (gating.BodiesExpected) count as queued in the reported load. Behaviour of Admit is unchanged.

A table of tests compares the judgement with the admission that follows.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -49,6 +49,14 @@
     return reply
 
 
+async def judge_request(ports: Ports, head: requests.Head) -> gating.Judged:
+    """Return whether the target would refuse a request now; runs nothing."""
+    refusal = find_refusal(ports, head)
+    if refusal is not None:
+        return gating.Judged(refusal, 0.0)
+    return await ports.scheduler.ask(gating.Judge(head))
+
+
 def find_refusal(ports: Ports, head) -> requests.Refusal | None:
     """Return why the target may not run the request, None if it may."""
     service = ports.states.current.services.get(head.service)
--- a/sesamejunction/model/gating.py
+++ b/sesamejunction/model/gating.py
@@ -22,6 +22,34 @@
     load: requests.Load
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Judge:
+    """Asks whether the target would refuse a request now.
+
+    The reply is Judged. The request takes no place and does not queue.
+    """
+
+    head: requests.Head
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Judged:
+    """``refusal`` is None when the request would run or queue.
+
+    ``run_s`` is the expected time at the target, in seconds.
+    """
+
+    refusal: requests.Refusal | None
+    run_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodiesExpected:
+    """How many requests were accepted whose bodies are not here yet."""
+
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finished:
     """Gives back a place, or leaves the queue.
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -54,13 +54,17 @@
         self._sent = scheduling.ColdWindow()
         self._suspect_until = float('-inf')
         self._stopping = False
+        self._expected = 0
 
     @property
     def load(self) -> requests.Load:
-        """Return the target's load as this node sees it."""
+        """Return the target's load as this node sees it.
+
+        Requests whose bodies are on their way count as queued.
+        """
         return requests.Load(
             len(self._running),
-            len(self._queue),
+            len(self._queue) + self._expected,
             self._standing.slots,
             self._times.mean,
         )
@@ -74,6 +78,10 @@
         match message:
             case gating.Admit(head=head):
                 return self._admit(head)
+            case gating.Judge(head=head):
+                return self._judge(head)
+            case gating.BodiesExpected(count=count):
+                self._expected = count
             case gating.Finished():
                 self._finish(message)
             case gating.StopAdmitting():
@@ -106,16 +114,24 @@
         if head.route_key is not None:
             self._keys.add(int(head.route_key), now)
         refusal = self._find_refusal(now)
-        if self._stopping:
-            refusal = refuse(
-                requests.Code.STOPPING,
-                'the node stops; send to another one or come back',
-                retry_after_s=RESTART_S,
-            )
         if refusal is not None:
             return refusal
+        entrant = self._build_entrant(head)
+        if not self._queue and self._find_room(now) == 0.0:
+            return self._start(entrant, now)
+        refusal = self._find_overload(entrant, now)
+        return refusal or self._enqueue(entrant, now)
+
+    def _judge(self, head) -> gating.Judged:
+        now = self._clock()
+        refusal = self._find_refusal(now)
+        if refusal is None and (self._queue or self._find_room(now) > 0.0):
+            refusal = self._find_overload(self._build_entrant(head), now)
+        return gating.Judged(refusal, self._times.expect(head.route))
+
+    def _build_entrant(self, head) -> scheduling.Entrant:
         organisation = self._state.organisations.get(head.organisation)
-        entrant = scheduling.Entrant(
+        return scheduling.Entrant(
             head.request_id,
             head.organisation,
             head.route,
@@ -123,11 +139,17 @@
             head.deadline,
             organisation.weight if organisation else 1.0,
         )
-        if not self._queue and self._find_room(now) == 0.0:
-            return self._start(entrant, now)
-        return self._enqueue(entrant, now)
 
     def _find_refusal(self, now) -> requests.Refusal | None:
+        if self._stopping:
+            return refuse(
+                requests.Code.STOPPING,
+                'the node stops; send to another one or come back',
+                retry_after_s=RESTART_S,
+            )
+        return self._find_standing_refusal(now)
+
+    def _find_standing_refusal(self, now) -> requests.Refusal | None:
         standing = self._standing
         if standing.life is None:
             return refuse(
@@ -163,7 +185,8 @@
         found = self._state.services.get(self._service)
         return found.cold_rate if found else 0.0
 
-    def _enqueue(self, entrant, now):
+    def _find_overload(self, entrant, now) -> requests.Refusal | None:
+        """Return a refusal when the expected wait passes the deadline."""
         ahead = self._queue.count_ahead(entrant)
         wait_s = scheduling.expect_wait(
             ahead,
@@ -175,26 +198,29 @@
         if cold:
             wait_s = max(wait_s, ahead / cold)
         needed = wait_s + self._times.expect(entrant.route)
-        if now + needed > entrant.deadline:
-            inputs = {
-                'rank': entrant.rank,
-                'ahead': ahead,
-                'running': len(self._running),
-                'slots': self._standing.slots,
-                'cold': int(bool(cold)),
-                'factor': round(self._factor.value, 2),
-                'needed_s': round(needed, 3),
-                'left_s': round(entrant.deadline - now, 3),
-            }
-            self._lines.log_message(
-                'gate: request refused', request=entrant.request_id, **inputs
-            )
-            return refuse(
-                requests.Code.OVERLOADED,
-                'the wait would pass the deadline; retry later',
-                retry_after_s=max(scheduling.SHORTEST_RETRY_S, wait_s / 2),
-                inputs=tuple(inputs.items()),
-            )
+        if now + needed <= entrant.deadline:
+            return None
+        inputs = {
+            'rank': entrant.rank,
+            'ahead': ahead,
+            'running': len(self._running),
+            'slots': self._standing.slots,
+            'cold': int(bool(cold)),
+            'factor': round(self._factor.value, 2),
+            'needed_s': round(needed, 3),
+            'left_s': round(entrant.deadline - now, 3),
+        }
+        self._lines.log_message(
+            'gate: request refused', request=entrant.request_id, **inputs
+        )
+        return refuse(
+            requests.Code.OVERLOADED,
+            'the wait would pass the deadline; retry later',
+            retry_after_s=max(scheduling.SHORTEST_RETRY_S, wait_s / 2),
+            inputs=tuple(inputs.items()),
+        )
+
+    def _enqueue(self, entrant, now) -> asyncio.Future:
         reply = asyncio.get_running_loop().create_future()
         self._queue.push(
             scheduling.Entrant(
@@ -250,7 +276,7 @@
 
     def _start_waiting(self) -> None:
         now = self._clock()
-        refusal = self._find_refusal(now)
+        refusal = self._find_standing_refusal(now)
         if refusal is not None:
             for entrant in self._queue.drain():
                 if not entrant.reply.done():
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -302,6 +302,59 @@
         assert reply.outcome is requests.Outcome.NOT_RUN
 
 
+# What came before at a target with one place, and time left for the next.
+JUDGEMENTS = {
+    'idle': ((), {}, 1.0),
+    'busy': ((make_head(0),), {}, 1.0),
+    'no time for the wait': ((make_head(0), make_head(1)), {}, 0.06),
+    'absent': ((), {'life': None}, 1.0),
+    'leaving': ((), {'leaving_since': 998.5}, 1.0),
+    'zone out': ((), {'out_since': 996.5}, 1.0),
+    'stopping': ((gating.StopAdmitting(),), {}, 1.0),
+    'cold': ((make_head(0),) * 4, {'cold_until': 1002.0, 'slots': 9}, 0.1),
+}
+
+
+@pytest.mark.parametrize(
+    ('before', 'standing', 'left_s'), JUDGEMENTS.values(), ids=JUDGEMENTS
+)
+async def test_judgement_is_that_of_admission(before, standing, left_s):
+    # Guards against a body that is asked for and then refused, or refused
+    # without need, because its judgement differs from the gate's.
+    made, _ = await make_scheduler(slots=1)
+    for one in before:
+        match one:
+            case requests.Head():
+                await admit(made, one)
+            case _:
+                await made.handle(one)
+    await made.handle(
+        dataclasses.replace(
+            leasing.Standing(LIFE, 1, 0.0),
+            **standing,
+        )
+    )
+    head = make_head(9, left_s=left_s)
+    load = made.load
+    judged = await made.handle(gating.Judge(head))
+    assert made.load == load
+    admitted = await admit(made, head)
+    if judged.refusal is None:
+        assert not isinstance(admitted, requests.Refusal)
+    else:
+        assert judged.refusal == admitted
+
+
+async def test_bodies_on_their_way_count_as_queued():
+    # Guards against choosers that send more bodies to a node whose line is
+    # full, because its queue is empty.
+    made, _ = await make_scheduler(slots=1)
+    await made.handle(gating.BodiesExpected(3))
+    assert made.load.queued == 3
+    await made.handle(gating.BodiesExpected(0))
+    assert made.load.queued == 0
+
+
 async def test_stopping_node_finishes_what_it_took():
     """Pattern: a node is replaced while its target's keys are busy."""
     made, _ = await make_scheduler(slots=1)
