--- a/sesamejunction/model/operating.py
+++ b/sesamejunction/model/operating.py
@@ -91,6 +91,14 @@
     fleet: typing.Any
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IntakeDump:
+    """Large bodies of other nodes, by what they do."""
+
+    waiting: int
+    under_way: int
+
+
 class StopReason(enum.Enum):
     """Why a node leaves the fleet."""
 
