Offer large bodies before they are sent

Change: a body from 16 KiB up is offered by WorkOffer (head and size) on the connection for small frames. The receiver judges it by its target and its line, and asks for the parts (AskPart), which come on the connection for large bodies (BodyPart). A part that nobody asked for, or of another size, ends that connection. A request whose body did not leave whole has not run, so a lost connection is 'unavailable' rather than 'lost' then. The offer has a tag of its own: an earlier node would run a Work frame without its body. The accepting side of connections moves to tasks/linkserver.

Measured over loopback (test_bodies): a refused upload of 360,000 bytes costs its receiver less than 1,000 bytes.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -59,6 +59,7 @@
                 ('target_seconds', 'Time at the target'),
                 ('hop_seconds', 'Time of requests sent to another node'),
                 ('connect_seconds', 'Time to connect to a node, by outcome'),
+                ('body_seconds', 'Time until a large body came, by outcome'),
                 ('loop_late_seconds', 'Lateness of the event loop'),
             )
         }
--- a/sesamejunction/border/hostedsettings.py
+++ b/sesamejunction/border/hostedsettings.py
@@ -78,6 +78,12 @@
     metrics_port: settings.Port = pydantic.Field(
         default=9180, description='TCP port of the metrics'
     )
+    line_mbps: float = pydantic.Field(
+        default=0.0,
+        ge=0,
+        description='speed of the line of the instance, in Mbit/s; 0 when'
+        ' unknown',
+    )
     stop_limit_s: float = pydantic.Field(
         default=5.0,
         ge=1,
@@ -89,6 +95,12 @@
         """Return the address in a field; it was checked before."""
         return Address.model_validate(getattr(self, field))
 
+    @pydantic.field_validator('line_mbps', mode='before')
+    @classmethod
+    def take_unknown_speed(cls, value):
+        """Return 0 for an empty text, which means an unknown speed."""
+        return 0.0 if value == '' else value
+
     @pydantic.field_validator(
         'callers', 'readiness', 'heartbeats', 'target', 'log'
     )
--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -13,10 +13,20 @@
 
 
 def encode_work(number, head, body, now) -> linking.Work:
-    """Return the frame of a request."""
+    """Return the frame of a request with its body."""
+    return linking.Work(*_list_head_fields(number, head, now), body)
+
+
+def encode_offer(number, head, size, now) -> linking.WorkOffer:
+    """Return the frame of a request whose body of ``size`` bytes waits."""
+    return linking.WorkOffer(*_list_head_fields(number, head, now), size)
+
+
+def _list_head_fields(number, head, now) -> tuple:
+    """Return the fields of linking.WorkHead."""
     objective_ms = min(head.objective - now, 1e6) * 1000
     left_s = head.deadline - now - REPLY_MARGIN_S
-    return linking.Work(
+    return (
         number,
         head.request_id,
         head.service,
@@ -31,11 +41,10 @@
         head.route,
         head.rank,
         head.caller_service,
-        body,
     )
 
 
-def decode_work(frame: linking.Work, now: float) -> requests.Head:
+def decode_work(frame: linking.WorkHead, now: float) -> requests.Head:
     """Return the head of a request; times on this node's boot clock."""
     return requests.Head(
         request_id=frame.request_id,
--- /dev/null
+++ b/sesamejunction/commands/bodies.py
@@ -0,0 +1,87 @@
+"""Runs a request at the target beside this node once its body is here."""
+
+import collections.abc
+import dataclasses
+import itertools
+
+from sesamejunction.commands import hosting
+from sesamejunction.commands import ports as porting
+from sesamejunction import errors
+from sesamejunction.model import intaking
+from sesamejunction.model import requests
+
+refuse = porting.refuse
+
+
+@dataclasses.dataclass(slots=True)
+class Ports:
+    """What the intake of bodies needs; ``numbers`` name the bodies."""
+
+    hosting: hosting.Ports
+    intake: porting.Task
+    numbers: collections.abc.Iterator[int] = dataclasses.field(
+        default_factory=lambda: itertools.count(1)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sender:
+    """The node that has a body.
+
+    ``ask_part`` takes the number of a body and an intaking.Part and asks
+    for it, without waiting.
+    """
+
+    incarnation: int
+    ask_part: collections.abc.Callable
+
+
+async def fetch_body(
+    ports: Ports, sender: Sender, head: requests.Head, size: int
+) -> intaking.Whole | requests.Refusal:
+    """Return a body of ``size`` bytes, or why the request does not run.
+
+    No part is asked for while the target would refuse the request.
+    """
+    started = ports.hosting.clock()
+    try:
+        reply = await _fetch(ports, sender, head, size)
+    except (errors.InboxFull, errors.TaskStopped) as error:
+        reply = refuse(requests.Code.OVERLOADED, str(error), retry_after_s=1.0)
+    code = ''
+    if isinstance(reply, requests.Refusal):
+        code = reply.code.value
+        reply = dataclasses.replace(reply, load=ports.hosting.scheduler.load)
+        ports.hosting.metrics.hosted.inc({'outcome': code})
+    ports.hosting.metrics.observe(
+        'body_seconds',
+        ports.hosting.clock() - started,
+        outcome=code or 'arrived',
+    )
+    return reply
+
+
+async def _fetch(ports, sender, head, size):
+    judged = await hosting.judge_request(ports.hosting, head)
+    if judged.refusal is not None:
+        return judged.refusal
+    body = intaking.Body(
+        next(ports.numbers),
+        sender.incarnation,
+        size,
+        head.rank,
+        head.deadline - judged.run_s,
+    )
+    try:
+        reply = await ports.intake.ask(intaking.Offer(body))
+        if isinstance(reply, intaking.Part):
+            # The target may have left while the body waited for its turn.
+            judged = await hosting.judge_request(ports.hosting, head)
+            if judged.refusal is not None:
+                return judged.refusal
+        while isinstance(reply, intaking.Part):
+            sender.ask_part(body.number, reply)
+            reply = await ports.intake.ask(intaking.AwaitPart(body.number))
+        return reply
+    finally:
+        ports.intake.give_back(intaking.Leave(body.number))
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -20,8 +20,8 @@
     tag: bytes
 
 
-class Work(Frame, tag=2):
-    """A request for the target beside the receiver.
+class WorkHead(Frame):
+    """Head of a request for the target beside the receiver.
 
     ``left_ms`` and ``objective_ms`` count from the sending.
     """
@@ -39,6 +39,11 @@
     route: str
     rank: int
     caller_service: str
+
+
+class Work(WorkHead, tag=2):
+    """A request with its body."""
+
     body: bytes
 
 
@@ -116,6 +121,36 @@
     """Answers Ping."""
 
 
+class WorkOffer(WorkHead, tag=15):
+    """A request whose body of ``size`` bytes is sent when it is asked for.
+
+    A tag of its own: a node that does not know it ends the connection, and
+    would otherwise run the request without a body.
+    """
+
+    size: int
+
+
+class AskPart(Frame, tag=16):
+    """Asks for ``size`` bytes of an offered body from ``start`` on.
+
+    ``turn`` names the body at the receiver.
+    """
+
+    turn: int
+    start: int
+    size: int
+
+
+class BodyPart(Frame, tag=17):
+    """The bytes that were asked for, on the connection for large bodies.
+
+    ``id`` is the turn.
+    """
+
+    data: bytes
+
+
 FRAMES = (
     Hello
     | Work
@@ -131,5 +166,8 @@
     | LoadReply
     | Ping
     | Pong
+    | WorkOffer
+    | AskPart
+    | BodyPart
 )
 REPLIES = (Done, Refused, ReleaseReply, CopyReply, LoadReply, Pong)
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -1,7 +1,6 @@
 """Connections to other nodes, one or two a member, kept open."""
 
 import asyncio
-import collections.abc
 import dataclasses
 import itertools
 
@@ -15,6 +14,7 @@
 from sesamejunction.model import linking
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
+from sesamejunction.tasks import outgoing
 
 CONNECT_S = 0.5
 # A connection that owes a reply and has been silent for this time is asked
@@ -22,8 +22,8 @@
 SILENT_S = 0.4
 # Longest wait for the answer to a question of a task.
 ASK_S = 1.2
-# Bodies from this size use a connection of their own, so that they do not
-# hold up small frames on a slow line.
+# Bodies from this size are offered first and use a connection of their own,
+# so that they do not hold up small frames on a slow line.
 BULK_BYTES = 16 * 1024
 
 
@@ -41,6 +41,7 @@
         self._heard_at = 0.0
         self._watch = None
         self._retired = False
+        self._offered = {}
 
     @property
     def is_usable(self) -> bool:
@@ -80,9 +81,23 @@
         if self._retired and not self._open and self._is_open:
             self.transport.abort()
 
+    def offer_body(self, number: int, sender: outgoing.BodySender) -> None:
+        """Let a sender take the requests for parts of an exchange's body."""
+        self._offered[number] = sender
+
+    def withdraw_body(self, number: int) -> None:
+        """Send no more parts of a body."""
+        sender = self._offered.pop(number, None)
+        if sender is not None:
+            sender.close()
+
     def take_frame(self, frame) -> None:
         """Give a reply to the exchange that waits for it."""
         self._heard_at = asyncio.get_running_loop().time()
+        if isinstance(frame, linking.AskPart):
+            if frame.id in self._offered:
+                self._offered[frame.id].send_part(frame)
+            return
         future, _ = self._open.get(frame.id, (None, False))
         if future is not None and not future.done():
             future.set_result(frame)
@@ -133,6 +148,35 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """A request on a connection: its id there, its reply and its head."""
+
+    link: Link
+    number: int
+    reply: asyncio.Future
+    head: requests.Head
+
+
+async def finish_exchange(exchange: Exchange):
+    """Return the reply to a request; raises PeerLost without one."""
+    link, number = exchange.link, exchange.number
+    left_s = exchange.head.deadline - clock.read_boot_clock()
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            return await exchange.reply
+    except TimeoutError as error:
+        link.send_frame(linking.Cancel(number))
+        raise errors.PeerLost(
+            'no answer within the deadline; it may have run'
+        ) from error
+    except asyncio.CancelledError:
+        link.send_frame(linking.Cancel(number))
+        raise
+    finally:
+        link.end_exchange(number)
+
+
 class Links:
     """Sends work and questions to other members.
 
@@ -185,31 +229,49 @@
 
     async def _send(self, candidate, head, upload):
         body = await wholes.read_upload(upload)
-        if candidate.member.incarnation == self._incarnation:
+        member = candidate.member
+        if member.incarnation == self._incarnation:
             return await self.host_request(head, body)
         now = clock.read_boot_clock()
-        left_s = head.deadline - now
-        link = await self._connect(
-            candidate.member, len(body) >= BULK_BYTES, left_s
+        link = await self._connect(member, False, head.deadline - now)
+        exchange = Exchange(link, *link.start_exchange(head.repeatable), head)
+        if len(body) < BULK_BYTES:
+            link.send_frame(
+                linkcodec.encode_work(exchange.number, head, body, now)
+            )
+            frame = await finish_exchange(exchange)
+        else:
+            frame = await self._send_large(member, exchange, body)
+        self._metrics.observe('hop_seconds', clock.read_boot_clock() - now)
+        return linkcodec.decode_reply(frame)
+
+    async def _send_large(self, member, exchange, body):
+        """Offer a body and send its parts when the member asks for them."""
+        link, number, head = exchange.link, exchange.number, exchange.head
+
+        async def connect():
+            left_s = head.deadline - clock.read_boot_clock()
+            return await self._connect(member, True, left_s)
+
+        sender = outgoing.BodySender(body, exchange.reply, connect)
+        link.offer_body(number, sender)
+        link.send_frame(
+            linkcodec.encode_offer(
+                number, head, len(body), clock.read_boot_clock()
+            )
         )
-        number, future = link.start_exchange(head.repeatable)
-        link.send_frame(linkcodec.encode_work(number, head, body, now))
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
-                frame = await future
-        except TimeoutError as error:
+            return await finish_exchange(exchange)
+        except errors.PeerUnavailable as error:
+            if sender.sent_whole:
+                raise
+            # The member need not wait for the rest.
             link.send_frame(linking.Cancel(number))
-            raise errors.PeerLost(
-                'no answer within the deadline; it may have run'
+            raise errors.PeerUnavailable(
+                f'{member.name} did not get the whole body; nothing ran'
             ) from error
-        except asyncio.CancelledError:
-            link.send_frame(linking.Cancel(number))
-            raise
         finally:
-            link.end_exchange(number)
-        taken_s = clock.read_boot_clock() - now
-        self._metrics.observe('hop_seconds', taken_s)
-        return linkcodec.decode_reply(frame)
+            link.withdraw_body(number)
 
     async def ask(self, member, message):
         """Return a member's answer; raises PeerUnavailable without one."""
@@ -286,78 +348,3 @@
             link = self._links.pop(key)
             if link.transport is not None:
                 link.transport.close()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerPorts:
-    """What the accepting side needs.
-
-    ``host_request`` runs work for the target beside this node, ``answer``
-    returns the reply to a question, or None.
-    """
-
-    incarnation: int
-    secret: bytes
-    host_request: collections.abc.Callable
-    answer: collections.abc.Callable
-    traffic: object = None
-    connections: set = dataclasses.field(default_factory=set)
-
-
-class LinkServer(framing.FrameProtocol):
-    """The accepting side of one connection."""
-
-    def __init__(self, ports: ServerPorts):
-        super().__init__(ports.traffic)
-        self._ports = ports
-        self._known = False
-        self._running = {}
-
-    def connection_made(self, transport):
-        """Keep the connection, so that a stop can close it."""
-        super().connection_made(transport)
-        self._ports.connections.add(self)
-
-    def connection_lost(self, exc):
-        """Cancel work that nobody waits for, if it may be cancelled."""
-        self._ports.connections.discard(self)
-        for task, repeatable in self._running.values():
-            if repeatable:
-                task.cancel()
-
-    def take_frame(self, frame) -> None:
-        """Take one frame of the peer."""
-        match frame:
-            case linking.Hello():
-                self._known = framing.check_hello(
-                    self._ports.secret, frame, self._ports.incarnation
-                )
-                if not self._known:
-                    self.transport.abort()
-            case _ if not self._known:
-                self.transport.abort()
-            case linking.Ping():
-                self.send_frame(linking.Pong(0))
-            case linking.Cancel():
-                found = self._running.get(frame.id)
-                if found is not None:
-                    found[0].cancel()
-            case linking.Work():
-                self._start(frame.id, self._work(frame), frame.repeatable)
-            case _:
-                self._start(frame.id, self._answer(frame), True)
-
-    def _start(self, number, coroutine, repeatable) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._running[number] = task, repeatable
-        task.add_done_callback(lambda _: self._running.pop(number, None))
-
-    async def _work(self, frame) -> None:
-        head = linkcodec.decode_work(frame, clock.read_boot_clock())
-        reply = await self._ports.host_request(head, frame.body)
-        self.send_frame(await linkcodec.encode_reply(frame.id, reply))
-
-    async def _answer(self, frame) -> None:
-        reply = await self._ports.answer(frame)
-        if reply is not None:
-            self.send_frame(reply)
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -14,6 +14,7 @@
 from sesamejunction.border import packets as codec
 from sesamejunction.border import pools
 from sesamejunction.border import registrycodec
+from sesamejunction.commands import bodies
 from sesamejunction.commands import hosting
 from sesamejunction.commands import ports as porting
 from sesamejunction import errors
@@ -36,7 +37,9 @@
 from sesamejunction.tasks import copies
 from sesamejunction.tasks import datagrams
 from sesamejunction.tasks import follower
+from sesamejunction.tasks import intake
 from sesamejunction.tasks import links
+from sesamejunction.tasks import linkserver
 from sesamejunction.tasks import presence
 from sesamejunction.tasks import rangeplanner
 from sesamejunction.tasks import registrar
@@ -194,6 +197,7 @@
             checked.target_service, self._lease.holdings
         )
         self._lease.subscribers = (self._scheduler,)
+        self._intake = intake.Intake(checked.line_mbps, self._scheduler)
 
     def _build_state(self) -> None:
         checked = self._settings
@@ -242,6 +246,7 @@
             return await hosting.host_request(hosting_ports, head, body)
 
         self._links.host_request = host_request
+        self._bodies = bodies.Ports(hosting_ports, self._intake)
         answers = hostedanswers.Answers(
             self._lease,
             self._terms,
@@ -279,16 +284,16 @@
         self.metrics = metrics.MetricsPage(self._metrics, self._sample)
 
     async def _open_peer_port(self) -> None:
-        loop = asyncio.get_running_loop()
-        ports = links.ServerPorts(
+        ports = linkserver.ServerPorts(
             self._incarnation,
             self._links.secret,
             self._host_request,
             self._answer,
+            self._bodies,
             self._vitals.traffic,
         )
-        listener = await loop.create_server(
-            lambda: links.LinkServer(ports),
+        listener = await asyncio.get_running_loop().create_server(
+            lambda: linkserver.LinkServer(ports),
             sock=pools.bind_listener(self._host, self._settings.peer_port),
         )
         self._stack.callback(listener.close)
@@ -314,6 +319,7 @@
             *self._fetchers,
             self._registry,
             self._registrar,
+            self._intake,
             *self._list_readers(),
         )
 
--- /dev/null
+++ b/test/test_bodies.py
@@ -0,0 +1,331 @@
+"""Large bodies between two nodes over loopback, with tasks that run."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from sesamejunction.border import hostedmetrics
+from sesamejunction.border import logs
+from sesamejunction.commands import bodies
+from sesamejunction.commands import hosting
+from sesamejunction.commands import ports as porting
+from sesamejunction.commands import uploads
+from sesamejunction.commands import wholes
+from sesamejunction.decisions import attempts
+from sesamejunction.decisions import intake
+from sesamejunction import errors
+from sesamejunction.model import gating
+from sesamejunction.model import linking
+from sesamejunction.model import requests
+from sesamejunction.model import state
+from sesamejunction.tasks import clock
+from sesamejunction.tasks import intake as tasks
+from sesamejunction.tasks import links
+from sesamejunction.tasks import linkserver
+from sesamejunction.tasks import outgoing
+from sesamejunction.tasks import vitals
+
+HOST = '127.0.0.1'
+SECRET = b'secret of the fleet'
+SENDER, RECEIVER = 11, 22
+LARGEST = 360_000
+FULL = porting.refuse(
+    requests.Code.OVERLOADED, 'full', retry_after_s=0.3, inputs=(('ahead', 9),)
+)
+
+
+class Scheduler:
+    """Judges as it is told."""
+
+    def __init__(self):
+        self.verdict = None
+        self.load = requests.Load(0, 0, 4, 0.02)
+        self.expected = 0
+
+    async def ask(self, message):
+        assert isinstance(message, gating.Judge)
+        return gating.Judged(self.verdict, 0.02)
+
+    def publish(self, message):
+        self.expected = message.count
+
+
+class Pair:
+    """A node that sends and one that receives."""
+
+    def __init__(self, line_mbps=0.0):
+        self.scheduler = Scheduler()
+        self.intake = tasks.Intake(line_mbps, self.scheduler)
+        self.ran = []
+        self.release = asyncio.Event()
+        self.release.set()
+        self.count = 0
+        self.traffic = vitals.Traffic()
+        self.stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        metrics = hostedmetrics.HostedMetrics()
+        running = asyncio.ensure_future(self.intake.run())
+        self.stack.callback(running.cancel)
+        self.server_ports = linkserver.ServerPorts(
+            RECEIVER,
+            SECRET,
+            self._host_request,
+            None,
+            bodies.Ports(
+                hosting.Ports(
+                    porting.StateView(),
+                    self.scheduler,
+                    None,
+                    None,
+                    None,
+                    logs.LineLimit(),
+                    metrics,
+                    clock.read_boot_clock,
+                ),  # fmt: skip
+                self.intake,
+            ),
+            self.traffic,
+        )
+        listener = await asyncio.get_running_loop().create_server(
+            lambda: linkserver.LinkServer(self.server_ports), HOST, 0
+        )
+        self.stack.callback(listener.close)
+        self.links = await self.stack.enter_async_context(
+            links.Links(
+                SENDER, HOST, metrics, vitals.Vitals(vitals.Traffic(), metrics)
+            )
+        )
+        self.links.secret = SECRET
+        port = listener.sockets[0].getsockname()[1]
+        self.member = state.Member(
+            incarnation=RECEIVER, name='receiver', zone='a', host=HOST,
+            caller_port=1, peer_port=port, operator_port=1,
+            service='archive', slots=4, cold_slots=4, checks_grants=False,
+        )  # fmt: skip
+        return self
+
+    async def __aexit__(self, *exc):
+        self.cut()
+        return await self.stack.__aexit__(*exc)
+
+    async def _host_request(self, head, body):
+        self.ran.append(bytes(body))
+        await self.release.wait()
+        return wholes.build_answer(200, (), b'done', self.scheduler.load)
+
+    def cut(self):
+        """Break all connections at the receiver."""
+        for one in list(self.server_ports.connections):
+            one.transport.abort()
+
+    def send(self, body, left_s=2.0, repeatable=False):
+        self.count += 1
+        head = requests.Head(
+            f'r{self.count}', 'archive', 'POST', '/', None, None, 'one',
+            clock.read_boot_clock() + left_s, repeatable,
+        )  # fmt: skip
+        return asyncio.ensure_future(
+            self.links.send(
+                requests.Candidate(self.member), head, uploads.Upload(body)
+            )
+        )
+
+    async def wait_until(self, is_met):
+        async with asyncio.timeout(3):
+            while not is_met():
+                await asyncio.sleep(0.005)
+
+
+SIZES = {
+    'small': (100, 1),
+    'just small': (links.BULK_BYTES - 1, 1),
+    'just large': (links.BULK_BYTES, 2),
+    'one part': (intake.PART_BYTES, 2),
+    'one byte more': (intake.PART_BYTES + 1, 2),
+    'the largest': (LARGEST, 2),
+}
+
+
+# Guards against bodies that arrive in pieces, and against small frames that
+# wait behind a large body on their connection.
+@pytest.mark.parametrize(('size', 'connections'), SIZES.values(), ids=SIZES)
+async def test_body_arrives_whole(size, connections):
+    async with Pair(line_mbps=80.0) as pair:
+        body = random.Random(size).randbytes(size)
+        answer = await pair.send(body)
+        assert answer.status == 200
+        assert pair.ran == [body]
+        assert len(pair.server_ports.connections) == connections
+        await pair.wait_until(lambda: pair.scheduler.expected == 0)
+
+
+REFUSALS = {
+    'the target refuses': (0.0, FULL, 2.0, 'ahead'),
+    'the line is too slow': (1.0, None, 2.0, 'needed_s'),
+}
+
+
+# Guards against a refused upload that has used the line: bodies are compared
+# with the bytes that came.
+@pytest.mark.parametrize(
+    ('line_mbps', 'verdict', 'left_s', 'named'),
+    REFUSALS.values(),
+    ids=REFUSALS,
+)
+async def test_refused_body_is_not_sent(line_mbps, verdict, left_s, named):
+    async with Pair(line_mbps) as pair:
+        pair.scheduler.verdict = verdict
+        refusal = await pair.send(bytes(LARGEST), left_s)
+        assert refusal.code is requests.Code.OVERLOADED
+        assert refusal.outcome is requests.Outcome.NOT_RUN
+        assert refusal.retry_after_s > 0
+        assert refusal.load == pair.scheduler.load
+        assert named in dict(refusal.inputs)
+        # Another target may run it.
+        declined = attempts.classify_refusal(refusal, keyed=False)
+        assert declined == attempts.Declined()
+        assert pair.traffic.received < 1000
+        assert not pair.ran
+
+
+async def cancel_sending(pair, sending):
+    sending.cancel()
+
+
+async def cut_connections(pair, sending):
+    pair.cut()
+
+
+async def wait_for_limit(pair, sending):
+    """Do nothing; the receiver's limit ends the wait."""
+
+
+ENDINGS = {
+    'its caller leaves': cancel_sending,
+    'its sender is lost': cut_connections,
+    'its sender sends nothing': wait_for_limit,
+}
+
+
+# Guards against a turn that a sender keeps for good, after which no large
+# body is taken any more.
+@pytest.mark.parametrize('end', ENDINGS.values(), ids=ENDINGS)
+async def test_turn_of_a_body_that_does_not_come_is_freed(end, monkeypatch):
+    monkeypatch.setattr(intake, 'PART_LIMIT_S', 0.3)
+    async with Pair() as pair:
+        with monkeypatch.context() as patched:
+            patched.setattr(outgoing.BodySender, 'send_part', lambda *_: None)
+            sending = [pair.send(bytes(LARGEST)) for _ in range(3)]
+            await pair.wait_until(lambda: pair.scheduler.expected == 3)
+            for one in sending:
+                await end(pair, one)
+            await pair.wait_until(lambda: pair.scheduler.expected == 0)
+            results = await asyncio.gather(*sending, return_exceptions=True)
+        for result in results:
+            assert not isinstance(result, errors.PeerLost)
+        assert not pair.ran
+        assert (await pair.send(bytes(LARGEST))).status == 200
+
+
+@pytest.mark.parametrize('repeatable', [True, False])
+async def test_loss_before_the_whole_body_says_not_run(
+    repeatable, monkeypatch
+):
+    # Guards against an unknown outcome of an upload that cannot have run.
+    monkeypatch.setattr(outgoing.BodySender, 'send_part', lambda *_: None)
+    async with Pair() as pair:
+        sending = pair.send(bytes(LARGEST), repeatable=repeatable)
+        await pair.wait_until(lambda: pair.scheduler.expected == 1)
+        pair.cut()
+        with pytest.raises(errors.PeerUnavailable) as raised:
+            await sending
+        assert not isinstance(raised.value, errors.PeerLost)
+
+
+@pytest.mark.parametrize('repeatable', [True, False])
+async def test_loss_after_the_whole_body_says_unknown(repeatable):
+    # Guards against a second run of an upload that may have run.
+    async with Pair() as pair:
+        pair.release.clear()
+        sending = pair.send(bytes(LARGEST), repeatable=repeatable)
+        await pair.wait_until(lambda: pair.ran)
+        pair.cut()
+        with pytest.raises(errors.PeerLost):
+            await sending
+
+
+async def test_upload_that_runs_outlasts_its_connection():
+    # Guards against a run that is broken off though it may not be repeated.
+    async with Pair() as pair:
+        pair.release.clear()
+        sending = pair.send(bytes(LARGEST))
+        await pair.wait_until(lambda: pair.ran)
+        (server,) = [
+            one for one in pair.server_ports.connections if one._running
+        ]
+        ((task, _),) = server._running.values()
+        pair.cut()
+        with pytest.raises(errors.PeerLost):
+            await sending
+        assert not task.done()
+        pair.release.set()
+        await task
+
+
+def send_short_part(sender, asked):
+    part = linking.AskPart(asked.id, asked.turn, asked.start, asked.size - 1)
+    return SEND_PART(sender, part)
+
+
+def send_other_body(sender, asked):
+    part = linking.AskPart(asked.id, asked.turn + 1, asked.start, asked.size)
+    return SEND_PART(sender, part)
+
+
+SEND_PART = outgoing.BodySender.send_part
+WRONG = {'another size': send_short_part, 'not asked for': send_other_body}
+
+
+# Guards against a peer that fills the receiver's memory or line with bytes
+# that nobody asked for.
+@pytest.mark.parametrize('send_part', WRONG.values(), ids=WRONG)
+async def test_wrong_part_ends_the_connection(send_part, monkeypatch):
+    monkeypatch.setattr(intake, 'PART_LIMIT_S', 0.3)
+    monkeypatch.setattr(outgoing.BodySender, 'send_part', send_part)
+    async with Pair() as pair:
+        (result,) = await asyncio.gather(
+            pair.send(bytes(LARGEST)), return_exceptions=True
+        )
+        # The wrong part came over the connection for bodies, which is gone.
+        assert pair.traffic.received >= intake.PART_BYTES - 1
+        await pair.wait_until(lambda: len(pair.server_ports.connections) == 1)
+        match result:
+            case requests.Refusal():
+                assert result.outcome is requests.Outcome.NOT_RUN
+            case _:
+                assert isinstance(result, errors.PeerUnavailable)
+                assert not isinstance(result, errors.PeerLost)
+        assert not pair.ran
+
+
+async def test_bodies_take_turns():
+    # Guards against a line that all bodies use at the same time.
+    async with Pair() as pair:
+        send_part = outgoing.BodySender.send_part
+        most = 0
+
+        def note(sender, asked):
+            nonlocal most
+            most = max(most, pair.intake._bodies.under_way)
+            send_part(sender, asked)
+
+        with pytest.MonkeyPatch.context() as patched:
+            patched.setattr(outgoing.BodySender, 'send_part', note)
+            answers = await asyncio.gather(
+                *(pair.send(bytes(LARGEST)) for _ in range(6))
+            )
+        assert [one.status for one in answers] == [200] * 6
+        assert most == intake.MAX_UNDER_WAY
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -353,11 +353,23 @@
     assert found.parse('log').port == 90
 
 
+SPEEDS = {'given': ('5.0', 5.0), 'empty': ('', 0.0), 'absent': (None, 0.0)}
+
+
+@pytest.mark.parametrize(('text', 'mbps'), SPEEDS.values(), ids=SPEEDS)
+def test_unknown_line_speed_is_accepted(text, mbps, monkeypatch):
+    # Guards against a node that does not start where the platform does not
+    # say how fast its line is.
+    set_variables(monkeypatch, LINE_MBPS=text)
+    assert hostedsettings.read_hosted_settings({}).line_mbps == mbps
+
+
 WRONG = {
     'no port': ({'CALLERS': '10.0.0.1'}, '--callers'),
     'port out of range': ({'TARGET': '10.0.0.1:99999'}, '--target'),
     'missing': ({'LOG': None}, '--log'),
     'not a number': ({'PEER_PORT': 'x'}, '--peer-port'),
+    'speed below 0': ({'LINE_MBPS': '-1'}, '--line-mbps'),
 }
 
 
