--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -128,6 +129,7 @@
             'TARGET_SERVICE': self._service,
             'LOG': self._store_address,
             'METRICS_PORT': str(self.ports['metrics']),
+            'LINE_MBPS': '1000',
         }
         with self.log.open('ab') as output:
             self.prepared = await asyncio.create_subprocess_exec(
@@ -265,7 +267,9 @@
         if one.server is not None:
             await one.stop_server()
 
-    async def call(self, machine, path, key=None, token=KEY, method='GET'):
+    async def call(
+        self, machine, path, key=None, token=KEY, method='GET', body=None
+    ):
         """Return status and body of one request through a machine."""
         self._count += 1
         headers = {
@@ -281,6 +285,7 @@
                 method,
                 f'http://{machine.address("callers")}{path}',
                 headers=headers,
+                data=body,
                 timeout=aiohttp.ClientTimeout(total=3),
             ) as reply:
                 return reply.status, await reply.read()
@@ -359,6 +364,29 @@
             assert found[0] == expected
 
 
+async def test_large_upload_passes_two_nodes_whole():
+    """Guards against parts of a body that are lost, doubled or swapped."""
+    async with Fleet() as fleet:
+        bodies = [
+            random.Random(number).randbytes(size)
+            for number, size in enumerate((16_383, 16_384, 60_000, 360_000))
+        ]
+        found = await asyncio.gather(
+            *(
+                fleet.call(
+                    fleet.machines[number % 3],
+                    '/order/1',
+                    method='POST',
+                    body=body,
+                )
+                for number, body in enumerate(bodies)
+            )
+        )
+        assert found == [(200, b'whole')] * len(bodies)
+        ran = [body for _, _, body in fleet.machines[3].server.ran]
+        assert sorted(ran, key=len) == bodies
+
+
 async def test_node_restart_moves_no_keys():
     """The server's holds outlive the node; nothing may be granted anew."""
     async with Fleet() as fleet:
