--- a/test/test_bodies.py
+++ b/test/test_bodies.py
@@ -52,10 +52,47 @@
         self.expected = message.count
 
 
+class SlowLine:
+    """Passes on what comes to a port, in order of arrival and at a speed."""
+
+    def __init__(self, port, bytes_s):
+        self._port = port
+        self._bytes_s = bytes_s
+        self._free_at = 0.0
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self):
+        listener = await asyncio.start_server(self._relay, HOST, 0)
+        self._stack.callback(listener.close)
+        return listener.sockets[0].getsockname()[1]
+
+    async def __aexit__(self, *exc):
+        return await self._stack.__aexit__(*exc)
+
+    async def _relay(self, reader, writer):
+        there, back = await asyncio.open_connection(HOST, self._port)
+        self._stack.callback(back.close)
+        self._stack.callback(writer.close)
+        answers = asyncio.ensure_future(self._pass_back(there, writer))
+        self._stack.callback(answers.cancel)
+        loop = asyncio.get_running_loop()
+        while data := await reader.read(16 * 1024):
+            begins = max(loop.time(), self._free_at)
+            self._free_at = begins + len(data) / self._bytes_s
+            loop.call_at(self._free_at, back.write, data)
+        loop.call_at(self._free_at, back.close)
+
+    async def _pass_back(self, there, writer):
+        while data := await there.read(16 * 1024):
+            writer.write(data)
+        writer.close()
+
+
 class Pair:
     """A node that sends and one that receives."""
 
-    def __init__(self, line_mbps=0.0):
+    def __init__(self, line_mbps=0.0, relayed_mbps=0.0):
+        self.relayed_mbps = relayed_mbps
         self.scheduler = Scheduler()
         self.intake = tasks.Intake(line_mbps, self.scheduler)
         self.ran = []
@@ -100,6 +137,9 @@
         )
         self.links.secret = SECRET
         port = listener.sockets[0].getsockname()[1]
+        if self.relayed_mbps:
+            slow = SlowLine(port, self.relayed_mbps * tasks.MBIT_BYTES)
+            port = await self.stack.enter_async_context(slow)
         self.member = state.Member(
             incarnation=RECEIVER, name='receiver', zone='a', host=HOST,
             caller_port=1, peer_port=port, operator_port=1,
@@ -245,6 +285,40 @@
         assert not isinstance(raised.value, errors.PeerLost)
 
 
+async def test_upload_without_a_connection_for_it_has_not_run():
+    # Guards against an upload that waits for its deadline when the
+    # connection for large bodies cannot be made, and against a turn that it
+    # keeps.
+    async with Pair() as pair:
+        connect = pair.links._connect
+
+        async def refuse_bulk(member, bulk, left_s):
+            if bulk:
+                raise errors.PeerUnavailable('no connection')
+            return await connect(member, bulk, left_s)
+
+        pair.links._connect = refuse_bulk
+        with pytest.raises(errors.PeerUnavailable) as raised:
+            async with asyncio.timeout(1):
+                await pair.send(bytes(LARGEST))
+        assert not isinstance(raised.value, errors.PeerLost)
+        await pair.wait_until(lambda: pair.scheduler.expected == 0)
+
+
+async def test_silent_connection_for_bodies_is_found(monkeypatch):
+    # Guards against uploads that are lost on a silent connection, one after
+    # the other, since only replies tell that a connection works.
+    async with Pair() as pair:
+        assert (await pair.send(bytes(LARGEST))).status == 200
+        (bulk,) = [one for (_, bulk), one in pair.links._links.items() if bulk]
+        with monkeypatch.context() as patched:
+            patched.setattr(bulk, 'send_frame', lambda _: None)
+            with pytest.raises(errors.PeerUnavailable):
+                await pair.send(bytes(LARGEST), 3.0)
+        assert not bulk.is_usable
+        assert (await pair.send(bytes(LARGEST))).status == 200
+
+
 @pytest.mark.parametrize('repeatable', [True, False])
 async def test_loss_after_the_whole_body_says_unknown(repeatable):
     # Guards against a second run of an upload that may have run.
@@ -329,3 +403,56 @@
             )
         assert [one.status for one in answers] == [200] * 6
         assert most == intake.MAX_UNDER_WAY
+
+
+SLOW_MBPS = 5.0
+SMALL_S = 0.4
+SECONDS = 4.0
+
+
+async def measure(sending):
+    """Return the seconds until a reply."""
+    started = clock.read_boot_clock()
+    await asyncio.wait([sending])
+    return clock.read_boot_clock() - started
+
+
+async def test_small_requests_pass_beside_uploads():
+    # Guards against calls of other servers that are late because uploads of
+    # 110% of the line's speed go the same way.
+    async with Pair(SLOW_MBPS, SLOW_MBPS) as pair:
+        rate = 1.1 * SLOW_MBPS * tasks.MBIT_BYTES / 60_000
+        chance = random.Random(3)
+        large, small, times = [], [], []
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + SECONDS
+        next_large = next_small = loop.time()
+        while (now := loop.time()) < ends:
+            while next_large <= now:
+                size = int(chance.expovariate(1 / 60_000))
+                body = bytes(max(links.BULK_BYTES, min(LARGEST, size)))
+                large.append(pair.send(body, 2.0))
+                next_large += chance.expovariate(rate)
+            if next_small <= now:
+                small.append(pair.send(b'small', SMALL_S))
+                times.append(asyncio.ensure_future(measure(small[-1])))
+                next_small += 0.05
+            await asyncio.sleep(0.005)
+        replies = await asyncio.gather(*small, *large, return_exceptions=True)
+        longest_s = max(await asyncio.gather(*times))
+        served = [
+            isinstance(one, requests.Answer) for one in replies[: len(small)]
+        ]
+        uploaded = [
+            isinstance(one, requests.Answer) for one in replies[len(small) :]
+        ]
+        print(
+            f'small {sum(served)} of {len(served)}, {longest_s:.3f} s,'
+            f' uploads {sum(uploaded)} of {len(uploaded)},'
+            f' bytes received {pair.traffic.received},'
+            f' run {sum(map(len, pair.ran))}'
+        )
+        assert all(served)
+        # Some uploads are too many; what is planned with must be used.
+        planned = SLOW_MBPS * tasks.MBIT_BYTES * intake.LINE_PART * SECONDS
+        assert sum(map(len, pair.ran)) >= 0.8 * planned
