Name the request in lines about refused bodies

Cause: 'gate: body refused' did not say which request it was about, so 'explain' could not find it.

A body whose target leaves while it waits for its turn is tested too.

--- a/sesamejunction/commands/bodies.py
+++ b/sesamejunction/commands/bodies.py
@@ -71,6 +71,7 @@
         size,
         head.rank,
         head.deadline - judged.run_s,
+        head.request_id,
     )
     try:
         reply = await ports.intake.ask(intaking.Offer(body))
--- a/sesamejunction/decisions/intake.py
+++ b/sesamejunction/decisions/intake.py
@@ -40,7 +40,7 @@
     other came.
     """
 
-    number: int
+    body: intaking.Body
     ahead: int
     needed_s: float
     left_s: float
@@ -131,13 +131,13 @@
         was accepted before, would be late.
         """
         accepted = list(self._waiting.values())
-        before = {one.number for one in self._list_late(accepted, now)}
+        before = {one.body.number for one in self._list_late(accepted, now)}
         for late in self._list_late([*accepted, body], now):
-            if late.number == body.number:
+            other = late.body
+            if other.number == body.number:
                 return late
-            other = self._waiting[late.number]
             if other.rank <= body.rank and other.number not in before:
-                return dataclasses.replace(late, number=body.number)
+                return dataclasses.replace(late, body=body)
         return None
 
     def push(self, body: intaking.Body) -> None:
@@ -238,4 +238,4 @@
 def _describe_late(body, ahead, needed_s, now) -> Late:
     left_s = body.latest - now
     retry_s = max(SHORTEST_RETRY_S, min(needed_s, needed_s - left_s))
-    return Late(body.number, ahead, needed_s, left_s, retry_s)
+    return Late(body, ahead, needed_s, left_s, retry_s)
--- a/sesamejunction/model/intaking.py
+++ b/sesamejunction/model/intaking.py
@@ -9,7 +9,7 @@
 
     ``latest`` is the boot-clock time by which it must be here whole;
     ``sender`` is the incarnation of the node that has it; ``size`` is in
-    bytes. Rank 0 goes first.
+    bytes. Rank 0 goes first. ``request_id`` is for log lines.
     """
 
     number: int
@@ -17,6 +17,7 @@
     size: int
     rank: int
     latest: float
+    request_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/tasks/intake.py
+++ b/sesamejunction/tasks/intake.py
@@ -100,9 +100,10 @@
         """Refuse what is late or missing and start whose turn it is."""
         now = self._clock()
         for late in self._bodies.list_late(now):
-            self._bodies.remove(late.number)
+            number = late.body.number
+            self._bodies.remove(number)
             self._give_reply(
-                late.number, self._describe_late(late, 'it would be late')
+                number, self._describe_late(late, 'it has waited too long')
             )
         for progress in self._bodies.list_missing(now):
             self._bodies.remove(progress.body.number)
@@ -132,6 +133,7 @@
 
     def _describe_late(self, late, reason) -> requests.Refusal:
         return self._refuse(
+            late.body,
             f'the body cannot be here in time: {reason}; retry later',
             late.retry_after_s,
             body_ahead=late.ahead,
@@ -141,20 +143,27 @@
 
     def _describe_missing(self, progress) -> requests.Refusal:
         return self._refuse(
+            progress.body,
             'the sender did not send the body; retry later',
             intake.SHORTEST_RETRY_S,
-            body_size=progress.body.size,
             body_arrived=progress.arrived,
             limit_s=intake.PART_LIMIT_S,
         )
 
-    def _refuse(self, message, retry_after_s, **inputs) -> requests.Refusal:
+    def _refuse(self, body, message, retry_after_s, **inputs):
+        """Return the refusal of a body and log it with its inputs."""
         inputs = {
             **inputs,
+            'body_size': body.size,
             'bodies': len(self._bodies),
             'under_way': self._bodies.under_way,
         }
-        self._lines.log_message('gate: body refused', reason=message, **inputs)
+        self._lines.log_message(
+            'gate: body refused',
+            request=body.request_id,
+            reason=message,
+            **inputs,
+        )
         return refuse(
             requests.Code.OVERLOADED,
             message,
--- a/test/test_bodies.py
+++ b/test/test_bodies.py
@@ -231,6 +231,32 @@
         assert not pair.ran
 
 
+async def test_target_that_leaves_meanwhile_gets_no_body(monkeypatch):
+    # Guards against a body that comes although its target has left while the
+    # body waited for its turn.
+    async with Pair() as pair:
+        with monkeypatch.context() as patched:
+            patched.setattr(outgoing.BodySender, 'send_part', lambda *_: None)
+            first = [
+                pair.send(bytes(LARGEST)) for _ in range(intake.MAX_UNDER_WAY)
+            ]
+            await pair.wait_until(
+                lambda: pair.scheduler.expected == len(first)
+            )
+            waiting = pair.send(bytes(LARGEST))
+            await pair.wait_until(
+                lambda: pair.scheduler.expected == len(first) + 1
+            )
+            pair.scheduler.verdict = porting.refuse(
+                requests.Code.STOPPING, 'the target leaves'
+            )
+            first[0].cancel()
+            refusal = await waiting
+        assert refusal.code is requests.Code.STOPPING
+        assert pair.traffic.received < 2000
+        first[1].cancel()
+
+
 async def cancel_sending(pair, sending):
     sending.cancel()
 
--- a/test/test_intake.py
+++ b/test/test_intake.py
@@ -71,7 +71,7 @@
         refused = latest < 0.0
     assert (late is not None) is refused
     if refused:
-        assert late.number == 99
+        assert late.body.number == 99
         assert late.retry_after_s >= intake.SHORTEST_RETRY_S
 
 
@@ -410,8 +410,8 @@
     def proceed(line):
         bodies = lines[line]
         for late in bodies.list_late(world.now):
-            bodies.remove(late.number)
-            send(uploads.pop(late.number))
+            bodies.remove(late.body.number)
+            send(uploads.pop(late.body.number))
         for started in bodies.start_next(world.now):
             ask(line, started.body.number, started.part)
 
