Drop a read only when it is silent while a peer is ahead

Seen: after a configuration of 250,000 bytes nodes act by the former one for 2.5 to 3.6 s, and the store is called thousands of times.

Cause: each echo of a peer that is ahead cancelled the read in progress and replaced its connections, although the read was bringing the very record. A download that takes longer than the time between two echoes never ended.

Change: decisions/silence notes since when a peer is known to be ahead and when the read last brought bytes. Topic.received counts all bytes since the start, so that progress is a difference.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -42,7 +42,7 @@
         self.reads_dropped = self._add(
             aioprometheus.Counter,
             'log_reads_dropped_total',
-            'Reads of a topic that were dropped because a peer was ahead',
+            'Reads of a topic that went silent while a peer was ahead',
         )
         self.key_moves = self._add(
             aioprometheus.Counter,
--- a/sesamejunction/platform/store.py
+++ b/sesamejunction/platform/store.py
@@ -53,7 +53,7 @@
         self._count = count
         self._base = f'http://{address}'
         self._session = None
-        # Bytes of the body that is being read, or was read last.
+        # Bytes of all answers with records; grows while a read goes on.
         self.received = 0
 
     async def __aenter__(self):
@@ -103,10 +103,10 @@
             ) from error
 
     async def _read_body(self, reply) -> bytes:
-        self.received = 0
         chunks = []
         async for chunk in reply.content.iter_any():
-            self.received += len(chunk)
+            if reply.status == 200:
+                self.received += len(chunk)
             chunks.append(chunk)
         return b''.join(chunks)
 
@@ -120,7 +120,7 @@
 
     @property
     def received(self) -> int:
-        """Return the bytes that the present read has brought so far."""
+        """Return the bytes of all reads so far, also of the present one."""
         return self._store.received
 
     async def read_newest(self) -> registry.Copy:
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -6,6 +6,7 @@
 import eliot
 
 from sesamejunction.border import logs
+from sesamejunction.decisions import silence
 from sesamejunction import errors
 from sesamejunction.model import registry
 from sesamejunction.tasks import actor
@@ -22,6 +23,9 @@
 # After a read that brought records the next one waits this long: when many
 # nodes register at once, each record would otherwise end the reads of all.
 GATHER_S = 0.1
+# How often a read is looked at while a peer is ahead, and otherwise.
+WATCH_S = 0.1
+IDLE_S = 10.0
 # Pauses between calls while the log does not answer.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
@@ -67,9 +71,12 @@
 
     ``view`` is read by other tasks without a message; only this task
     writes it. ``count_peers`` returns the peers heard of lately;
-    ``count_dropped`` is called with the labels of a read that was dropped.
+    ``count_dropped`` is called with the labels of a read that was dropped
+    since it had gone silent while a peer was ahead.
     """
 
+    tick_s = IDLE_S
+
     def __init__(self, topic, subscribers, count_peers, count_dropped):
         super().__init__()
         self._count_dropped = count_dropped
@@ -82,6 +89,8 @@
         self._reading = None
         self._connected = None
         self._read_since = 0.0
+        self._received_before = 0
+        self._watch = silence.ReadWatch()
         self._lines = logs.LineLimit()
         self.view = PositionView()
 
@@ -99,6 +108,19 @@
             case registry.GetCopy():
                 return self._copy
 
+    async def tick(self) -> None:
+        """Look for bytes of the read while a peer is ahead."""
+        self.tick_s = WATCH_S if self._watch.is_behind else IDLE_S
+        if self._reading is None or self._reading.done():
+            return
+        now = clock.read_boot_clock()
+        if self._watch.note_received(now, self._topic.received):
+            self._note_contact(True, '')
+        elif self._watch.is_silent(now):
+            self._drop_read(now)
+        elif self._watch.is_doubtful(now):
+            self._note_contact(False, 'nothing comes while a peer is ahead')
+
     @property
     def is_connected(self) -> bool:
         """Return whether the log answered the latest call."""
@@ -112,10 +134,11 @@
             try:
                 await asyncio.wait((self._reading,))
                 if self._reading.cancelled():
-                    # A peer is ahead: the connection may have gone silent.
+                    # The connection has gone silent.
                     await self._topic.reconnect()
                     continue
                 has_grown = self._reading.result()
+                self._watch.note_answer()
                 self._note_contact(True, '')
                 pause_s = FIRST_PAUSE_S
                 if has_grown:
@@ -130,6 +153,8 @@
     async def _read(self) -> bool:
         """Read once; return whether records came."""
         sent_at = self._read_since = clock.read_boot_clock()
+        self._received_before = self._topic.received
+        self._watch.begin(sent_at, self._topic.received)
         if self._copy is None:
             self._replace(await self._topic.read_newest())
             self._advance(sent_at)
@@ -171,6 +196,7 @@
 
     def _replace(self, copy) -> None:
         self._copy = copy
+        self._watch.note_copy(copy.end)
         self.view.replace(copy.end)
         for one in self._subscribers:
             one.tell(registry.TopicChanged(self._topic.name, copy))
@@ -185,20 +211,23 @@
             # The peer's copy was the newest at that time, and this one is
             # not older.
             self._advance(position.as_of)
-        elif self._reading is not None and self._connected:
-            self._drop_read(position)
+        else:
+            self._watch.note_ahead(clock.read_boot_clock(), position.end)
+            self.tick_s = WATCH_S
+            self.tick_within(WATCH_S)
 
-    def _drop_read(self, position) -> None:
+    def _drop_read(self, now) -> None:
         """Begin a new read, since a peer knows more than this one brought."""
         self._lines.log_message(
             'journal: read dropped',
             topic=self._topic.name,
             end=self.view.end,
-            peer_end=position.end,
-            read_s=round(clock.read_boot_clock() - self._read_since, 3),
-            received=self._topic.received,
+            silent_s=round(self._watch.measure_silence(now), 3),
+            read_s=round(now - self._read_since, 3),
+            received=self._topic.received - self._received_before,
         )
         self._count_dropped({'topic': self._topic.name})
+        self._watch.note_dropped()
         self._reading.cancel()
 
     def _note_contact(self, connected, reason) -> None:
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -233,6 +233,7 @@
     """Gives scripted batches."""
 
     name = 'fleet'
+    received = 0
 
     def __init__(self, batches):
         self.batches = batches
