Limit calls of the store by progress, and connections by failures

Seen: a large record on a slow line takes longer than the time that was allowed for the whole call (wait + 1.5 s, 1.5 s for log-newest), so the call was broken off and began anew. On full lines connections failed after 0.5 s each although the store was there.

Cause: one total limit for connection, wait and answer; a connection limit that queued traffic alone exceeds.

Change: the first byte may take wait + CALL_S, each further one CALL_S, all of the answer ANSWER_S (8 s, so that a trickle cannot hold a read for ever: the configuration of 1,560 routes at a twentieth of a line of 5 Mbit/s). The time for a connection begins with CONNECT_S and doubles with each failure in a row up to 2 s; the limit of the call grows by the same.

test_calls_are_limited_by_progress[slow but coming] fails on the former code with AppendUnknown (TimeoutError) and passes now; silent, stalled and trickling answers end as errors in both or now. Connections that are not answered end after 0.1, 0.2, 0.4 and 0.4 s with the limits of the test.

--- a/sesamejunction/platform/store.py
+++ b/sesamejunction/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store, which keeps the newest of each key."""
 
+import asyncio
 import base64
 import contextlib
 import struct
@@ -11,11 +12,20 @@
 from sesamejunction import errors
 from sesamejunction.model import registry
 
-# Longest time for a call that does not wait; a slow store takes 0.4 s.
+# Longest time without a byte of an answer, beyond the wait that was asked for;
+# a slow store takes 0.4 s.
 CALL_S = 1.5
+# Longest time for all of an answer from its first byte on, so that a trickle
+# cannot hold a read for ever: 250,000 bytes, a configuration of 1,560 routes,
+# come at a twentieth of the slowest line, 5 Mbit/s.
+ANSWER_S = 8.0
+# A connection on a free line takes a few milliseconds. On a full one the
+# answer waits behind other traffic, so each failure in a row doubles the time.
 CONNECT_S = 0.5
+LONGEST_CONNECT_S = 2.0
 LENGTH = struct.Struct('>I')
 POSITIONS = struct.Struct('>QQ')
+CONNECT_ERRORS = (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError)
 OPERATOR_TOPIC = 'keyed.op'
 FLEET_TOPIC = 'keyed.sesamejunction'
 
@@ -53,6 +63,7 @@
         self._count = count
         self._base = f'http://{address}'
         self._session = None
+        self._connect_s = CONNECT_S
         # Bytes of all answers with records; grows while a read goes on.
         self.received = 0
 
@@ -65,7 +76,6 @@
     def _open(self):
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=30),
-            timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_S),
             auto_decompress=False,
         )
 
@@ -81,30 +91,42 @@
     async def call(
         self, method: str, path: str, limit_s: float, query, data=None
     ) -> tuple[int, bytes]:
-        """Return status and body; raises LogUnavailable without an answer."""
+        """Return status and body; raises LogUnavailable without an answer.
+
+        The first byte may take ``limit_s``, each further one CALL_S.
+        """
         url = f'{self._base}{path}?{urllib.parse.urlencode(query)}'
+        more_s = self._connect_s - CONNECT_S
         try:
-            async with self._session.request(
-                method,
-                url,
-                data=data,
-                timeout=aiohttp.ClientTimeout(
-                    total=limit_s, sock_connect=CONNECT_S
-                ),
-            ) as reply:
-                body = await self._read_body(reply)
+            async with (
+                asyncio.timeout(limit_s + more_s) as limit,
+                self._session.request(
+                    method, url, data=data, timeout=self._build_timeout()
+                ) as reply,
+            ):
+                self._connect_s = CONNECT_S
+                body = await self._read_body(reply, limit)
                 self._count(str(reply.status))
                 return reply.status, body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._count('lost')
+            if isinstance(error, CONNECT_ERRORS):
+                self._connect_s = min(LONGEST_CONNECT_S, 2 * self._connect_s)
             raise errors.AppendUnknown(
                 f'no answer from the store to {path} ({error!r}); check its '
                 f'address and the network'
             ) from error
 
-    async def _read_body(self, reply) -> bytes:
+    def _build_timeout(self) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(total=None, sock_connect=self._connect_s)
+
+    async def _read_body(self, reply, limit) -> bytes:
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + ANSWER_S
         chunks = []
+        limit.reschedule(min(ends, loop.time() + CALL_S))
         async for chunk in reply.content.iter_any():
+            limit.reschedule(min(ends, loop.time() + CALL_S))
             if reply.status == 200:
                 self.received += len(chunk)
             chunks.append(chunk)
--- a/test/test_reads.py
+++ b/test/test_reads.py
@@ -1,12 +1,14 @@
 """Reads of the store go on while they bring bytes and end when they do not."""
 
 import asyncio
+import socket
 import time
 
 import pytest
 
 from sesamejunction import errors
 from sesamejunction.model import registry
+from sesamejunction.platform import store
 from sesamejunction.tasks import follower
 
 RECORD_BYTES = 250_000
@@ -112,3 +114,105 @@
         for task in running:
             task.cancel()
         await asyncio.wait(running)
+
+
+class SlowServer:
+    """Answers HTTP calls with pieces of a body, after a pause before each."""
+
+    def __init__(self, pauses):
+        self._pauses = pauses
+
+    async def answer(self, reader, writer):
+        """Answer one call."""
+        await reader.readuntil(b'\r\n\r\n')
+        size = 100 * len(self._pauses)
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n'
+        data = head.encode()
+        try:
+            for pause_s in self._pauses:
+                await asyncio.sleep(pause_s)
+                writer.write(data + bytes(100))
+                data = b''
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+
+# Guards against a slow large answer that is broken off and begins anew, a
+# silent one that is waited for, and a trickle that holds a read for ever.
+@pytest.mark.parametrize(
+    ('pauses', 'limit_s', 'comes'),
+    [
+        pytest.param([0.1] * 8, 0.3, True, id='slow but coming'),
+        pytest.param([0.5, 0.0], 0.3, False, id='nothing comes'),
+        pytest.param([0.0, 0.5], 0.3, False, id='stops in the middle'),
+        pytest.param([0.45, 0.1], 0.6, True, id='waited for its first byte'),
+        pytest.param([0.1] * 40, 0.3, False, id='a trickle without end'),
+    ],
+)
+async def test_calls_are_limited_by_progress(
+    pauses, limit_s, comes, monkeypatch
+):
+    monkeypatch.setattr(store, 'CALL_S', 0.3)
+    monkeypatch.setattr(store, 'ANSWER_S', 1.5, raising=False)
+    server = await asyncio.start_server(
+        SlowServer(pauses).answer, '127.0.0.1', 0
+    )
+    host, port = server.sockets[0].getsockname()
+    started = time.monotonic()
+    async with (
+        server,
+        store.Store(f'{host}:{port}', lambda _: None) as calls,
+    ):
+        if comes:
+            _, body = await calls.call('GET', '/log-read', limit_s, {})
+            assert len(body) == calls.received == 100 * len(pauses)
+        else:
+            with pytest.raises(errors.LogUnavailable):
+                await calls.call('GET', '/log-read', limit_s, {})
+            assert time.monotonic() - started < 2.5
+
+
+class FullListener:
+    """A listener that drops new connections, since its queue is full."""
+
+    def __init__(self):
+        self._taken = []
+        self._server = socket.socket()
+
+    def __enter__(self):
+        self._server.bind(('127.0.0.1', 0))
+        self._server.listen(0)
+        for _ in range(4):
+            one = socket.socket()
+            one.setblocking(False)
+            one.connect_ex(self._server.getsockname())
+            self._taken.append(one)
+        return self
+
+    def __exit__(self, *exc):
+        for one in (*self._taken, self._server):
+            one.close()
+
+    @property
+    def address(self):
+        """Return host and port."""
+        return '%s:%d' % self._server.getsockname()
+
+
+# Guards against a node on a full line that gives up each connection before
+# its answer has come through, and against long waits after the first failure.
+async def test_connections_get_longer_with_each_failure(monkeypatch):
+    monkeypatch.setattr(store, 'CONNECT_S', 0.1)
+    monkeypatch.setattr(store, 'LONGEST_CONNECT_S', 0.4)
+    took = []
+    with FullListener() as listener:
+        async with store.Store(listener.address, lambda _: None) as calls:
+            for _ in range(4):
+                started = time.monotonic()
+                with pytest.raises(errors.LogUnavailable):
+                    await calls.call('GET', '/log-read', 1.0, {})
+                took.append(time.monotonic() - started)
+    assert took == pytest.approx([0.1, 0.2, 0.4, 0.4], abs=0.08)
