Bound what a target may send to one request

What callers saw: a target whose head, interim answers, chunk lines or trailers did not end held its request until the deadline. Bodies of up to 64 MB were held for each connection, and large reads were parsed without a turn for other connections.

Cause: httpwire had one limit, the size of a body; the parser keeps a header or a line until it ends; uvloop reads one connection up to 32 times in a row.

Change: bytes that belong to no body (64 KB more than the body), header lines (128), interim answers (8), answers to other requests (4), one body (16 MB) and all arriving bodies together (48 MB) are bounded. Over the last bound the largest body is ended, so small answers go on. The connection is closed when a bound is passed, and the request has an unknown outcome. Reads are 64 KB into one shared buffer, and a full read lets other connections go first.

--- a/sesamejunction/border/httpwire.py
+++ b/sesamejunction/border/httpwire.py
@@ -9,8 +9,24 @@
 from sesamejunction import errors
 
 CONNECT_S = 0.3
-# Answers larger than this are not held.
-MAX_ANSWER_BYTES = 1 << 26
+# Read at once. After a full read other connections have their turn, since a
+# flood would otherwise be parsed for as long as it comes.
+READ_BYTES = 1 << 16
+# Bytes of one exchange that belong to no body: heads, interim answers, chunk
+# lines and trailers. A head takes 1 or 2 KB; the body's size is added, so
+# that small chunks are not refused.
+MAX_FRAMING_BYTES = 1 << 16
+# Each line costs a call of the parser; the platform's answers have about ten.
+MAX_HEADER_LINES = 128
+# Interim answers (1xx) to one request; one or two are usual.
+MAX_INTERIM_ANSWERS = 8
+# Answers to other requests in place of one's own. A connection carries one
+# request at a time, so that a sound target sends none.
+MAX_OTHER_ANSWERS = 4
+# Body of one answer, and bodies that are arriving on all connections. A node
+# has 200 MB in all, and a body is copied up to three times on its way.
+MAX_ANSWER_BYTES = 1 << 24
+MAX_ARRIVING_BYTES = 3 << 24
 # Connections idle for longer are not used again; a target closes them after
 # its own time, which it may state in Keep-Alive.
 IDLE_S = 8.0
@@ -36,13 +52,50 @@
         return None
 
 
-class Connection(asyncio.Protocol):
+class Intake:
+    """What the connections to one target share while answers arrive."""
+
+    def __init__(self):
+        # Filled and parsed without a pause between, so one is enough.
+        self.view = memoryview(bytearray(READ_BYTES))
+        self._arriving = set()
+        self._size = 0
+
+    def begin(self, one: 'Connection') -> None:
+        """Count the bodies of a connection."""
+        self._arriving.add(one)
+
+    def end(self, one: 'Connection') -> None:
+        """Count them no more."""
+        if one in self._arriving:
+            self._arriving.remove(one)
+            self._size -= one.size
+
+    def grow(self, count: int) -> None:
+        """Count more bytes; over the limit the largest answer is ended.
+
+        The largest is the most likely not to end, and small answers go on.
+        """
+        self._size += count
+        if self._size > MAX_ARRIVING_BYTES:
+            largest = max(self._arriving, key=lambda one: one.size)
+            largest.fail('more than all answers may hold together')
+
+
+class Connection(asyncio.BufferedProtocol):
     """One connection; parses one answer at a time.
 
     ``accepts`` tells whether an answer belongs to the present request.
+    ``size`` is how many bytes of bodies have come for it.
     """
 
-    def __init__(self):
+    def __init__(self, intake: Intake | None = None):
+        self._intake = intake or Intake()
+        self.size = 0
+        self._framing = 0
+        self._lines = 0
+        self._interim = 0
+        self._others = 0
         self.transport = None
         self.idle_since = 0.0
         self.idle_limit_s = IDLE_S
@@ -79,6 +132,8 @@
         self._accepts = accepts
         self._parser = httptools.HttpResponseParser(self)
         self._begun = False
+        self.size = self._framing = self._interim = self._others = 0
+        self._intake.begin(self)
         self.transport.writelines(data)
         try:
             return await self._waiter
@@ -87,6 +142,7 @@
             raise
         finally:
             self._waiter = None
+            self._intake.end(self)
 
     def abort(self) -> None:
         """Close at once; a target drops what it runs for the connection."""
@@ -94,17 +150,49 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def data_received(self, data):
+    def fail(self, reason: str) -> None:
+        """End the exchange without an answer, and the connection."""
+        self._reusable = False
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(
+                errors.TargetSilent(f'{reason} in place of an answer')
+            )
+            # What has come is released now, not when the request ends.
+            self._answer = None
+            self._intake.end(self)
+            self.abort()
+
+    def get_buffer(self, _sizehint):
+        """Return where the next bytes go."""
+        return self._intake.view
+
+    def buffer_updated(self, nbytes):
         """Parse what has come; bytes without a request end the connection."""
         if self._waiter is None or self._waiter.done():
             self.abort()
             return
+        before = self.size
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(self._intake.view[:nbytes])
         except httptools.HttpParserError:
-            self._fail('unreadable bytes')
+            self.fail('unreadable bytes')
         except httptools.HttpParserUpgrade:
-            self._fail('an unexpected change of protocol')
+            self.fail('an unexpected change of protocol')
+        self._framing += nbytes - (self.size - before)
+        if self._framing > MAX_FRAMING_BYTES + self.size:
+            self.fail('a head or chunk lines that are too large')
+        if nbytes == READ_BYTES and not self.transport.is_closing():
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._read_on)
+
+    def _read_on(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _give_up(self, reason):
+        """Fail, and end the parser's work on what has come."""
+        self.fail(reason)
+        raise errors.TargetSilent(reason)
 
     def eof_received(self):
         """Complete an answer that ends with its connection."""
@@ -124,14 +212,18 @@
     def connection_lost(self, exc):
         """Fail the exchange that runs."""
         self.is_lost = True
-        self._fail('the connection was closed')
+        self.fail('the connection was closed')
 
     def on_message_begin(self):
         """Begin an answer."""
         self._answer = RawAnswer()
+        self._lines = 0
 
     def on_header(self, name: bytes, value: bytes):
         """Add a header."""
+        self._lines += 1
+        if self._lines > MAX_HEADER_LINES:
+            self._give_up('too many header lines')
         lower = name.decode('latin-1').lower()
         if lower in ('content-length', 'transfer-encoding'):
             self._answer.has_length = True
@@ -144,14 +236,19 @@
 
     def on_body(self, body: bytes):
         """Add a piece of the body."""
+        self.size += len(body)
+        self._intake.grow(len(body))
+        if self.size > MAX_ANSWER_BYTES or self._answer is None:
+            self._give_up('an answer that is too large')
         self._answer.body += body
-        if len(self._answer.body) > MAX_ANSWER_BYTES:
-            self._fail('an answer that is too large')
 
     def on_message_complete(self):
         """Give the answer to its request."""
         if self._answer.status < 200:
             self._begun = False
+            self._interim += 1
+            if self._interim > MAX_INTERIM_ANSWERS:
+                self._give_up('too many interim answers')
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
@@ -167,16 +264,12 @@
             # connection is not used again.
             self._reusable = False
             self._begun = False
+            self._others += 1
+            if self._others > MAX_OTHER_ANSWERS:
+                self._give_up('too many answers to other requests')
             return
         self._waiter.set_result(self._answer)
 
-    def _fail(self, reason) -> None:
-        self._reusable = False
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(
-                errors.TargetSilent(f'{reason} in place of an answer')
-            )
-
 
 class TargetConnections:
     """Connections to the target beside this node, newest used first."""
@@ -184,6 +277,7 @@
     def __init__(self, host: str, port: int):
         self._address = (host, port)
         self._idle = []
+        self._intake = Intake()
 
     async def __aenter__(self):
         return self
@@ -210,7 +304,7 @@
         try:
             async with asyncio.timeout(CONNECT_S):
                 _, made = await loop.create_connection(
-                    Connection, *self._address
+                    lambda: Connection(self._intake), *self._address
                 )
         except ConnectionRefusedError as error:
             raise errors.TargetGone(
--- /dev/null
+++ b/test/test_floods.py
@@ -0,0 +1,265 @@
+"""Guards against targets whose answers do not end."""
+
+import asyncio
+import gc
+import os
+import statistics
+import time
+
+import pytest
+import uvloop
+
+from sesamejunction.border import httpwire
+from sesamejunction.commands import wholes
+from sesamejunction import errors
+from test import wires
+
+HEAD = b'HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Response-Signature: s\r\n'
+CHUNKED = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+BULK = bytes(1 << 16)
+# The system holds at most so much on its way from the sender to the reader.
+ON_THE_WAY_BYTES = 16 << 20
+# A node has 200 MB, of which it uses about 80 without answers.
+GROWTH_BYTES = 100 << 20
+# 99 in 100 requests are answered in 12 ms, so the loop may not be held for
+# longer. Processor time of the loop's thread is measured, since waits for a
+# busy machine are not the loop's own.
+HELD_S = 0.012
+MEDIAN_S = 0.012
+
+# What comes first, and what comes then without end.
+FLOODS = {
+    'status line': (b'HTTP/1.1 200 ', b'x' * 4096),
+    'header name': (b'HTTP/1.1 200 OK\r\nX', b'x' * 4096),
+    'header value': (b'HTTP/1.1 200 OK\r\nX: ', b'x' * 4096),
+    'header lines': (b'HTTP/1.1 200 OK\r\n', b'X: a\r\n' * 600),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 200),
+    'blank lines': (b'', b'\r\n' * 2048),
+    'chunk size': (CHUNKED, b'0' * 4096),
+    'chunk extension': (CHUNKED + b'2;', b'x' * 4096),
+    'chunk extensions': (CHUNKED, (b'1;' + b'x' * 99 + b'\r\na\r\n') * 40),
+    'trailer': (CHUNKED + b'2\r\nok\r\n0\r\nX: ', b'x' * 4096),
+    'trailers': (CHUNKED + b'2\r\nok\r\n0\r\n', b'X: a\r\n' * 600),
+    'chunks': (CHUNKED, b'10000\r\n' + BULK + b'\r\n'),
+    'chunks of a byte': (CHUNKED, b'1\r\nx\r\n' * 600),
+    'chunks of few bytes': (CHUNKED, b'8\r\nxxxxxxxx\r\n' * 300),
+    'declared body': (HEAD + b'Content-Length: 999999999999\r\n\r\n', BULK),
+    'body until close': (HEAD + b'Connection: close\r\n\r\n', BULK),
+    'answers to others': (b'', wires.encode_whole(attempt='b') * 50),
+    'one answer to others': (
+        b'HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n', BULK,
+    ),
+}  # fmt: skip
+
+
+@pytest.fixture(
+    params=[asyncio.DefaultEventLoopPolicy, uvloop.EventLoopPolicy],
+    ids=['asyncio', 'uvloop'],
+)
+def event_loop_policy(request):
+    """Run under the loop of production too; both read in their own way."""
+    return request.param()
+
+
+def flood(first, rest):
+    """Return a server of requests for /; others get an answer."""
+    rest *= -(-(1 << 17) // len(rest))
+
+    def serve(raw, one, _number):
+        while b'GET /fine' in raw.read_head(one):
+            one.sendall(wires.encode_whole())
+        raw.send(one, first)
+        while True:
+            raw.send(one, rest)
+
+    return wires.RawServer(serve)
+
+
+def read_resident_bytes():
+    with open('/proc/self/statm') as file:
+        return int(file.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
+
+
+class Watch:
+    """Measures how long the loop is held, other requests and memory."""
+
+    def __init__(self, port):
+        self._port = port
+        self.held = []
+        self.taken = []
+        gc.collect()
+        self.before = self.peak = read_resident_bytes()
+
+    async def __aenter__(self):
+        # The second connection exists before the flood begins.
+        await self._ask()
+        self.taken.clear()
+        self._tasks = [
+            asyncio.ensure_future(self._tick()),
+            asyncio.ensure_future(self._ask_on()),
+        ]
+        return self
+
+    async def __aexit__(self, *_exc):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.wait(self._tasks)
+
+    async def _tick(self):
+        while True:
+            started = time.thread_time()
+            await asyncio.sleep(0)
+            self.held.append(time.thread_time() - started)
+            self.peak = max(self.peak, read_resident_bytes())
+
+    async def _ask(self):
+        started = time.monotonic()
+        reply = await self._port.send(wires.make_head(path='/fine'), b'')
+        assert await wholes.read_answer(reply) == b'whole'
+        self.taken.append(time.monotonic() - started)
+
+    async def _ask_on(self):
+        while True:
+            await self._ask()
+            await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize(('first', 'rest'), FLOODS.values(), ids=FLOODS)
+async def test_answer_without_end_is_given_up(first, rest):
+    """Guards against hangs, growth and a held loop in head and body."""
+    with flood(first, rest) as raw:
+        port = raw.build_port()
+        async with Watch(port) as watch, asyncio.timeout(4):
+            with pytest.raises(errors.PeerLost):
+                await port.send(wires.make_head(), b'')
+        # The target sees the close at once, so it stops sending.
+        await asyncio.sleep(0.05)
+        sent = raw.sent
+        await asyncio.sleep(0.05)
+        assert raw.sent == sent
+        assert sent < 2 * httpwire.MAX_ANSWER_BYTES + ON_THE_WAY_BYTES
+        assert max(watch.held, default=0.0) < HELD_S
+        if len(watch.taken) > 10:
+            assert statistics.median(watch.taken) < MEDIAN_S
+        assert watch.peak - watch.before < GROWTH_BYTES
+        port.drop_idle()
+
+
+# A head may not take as much as a body.
+BODIES = (
+    'chunk extensions',
+    'chunks',
+    'chunks of few bytes',
+    'declared body',
+    'body until close',
+    'one answer to others',
+)
+HEADS = [name for name in FLOODS if name not in BODIES]
+
+
+@pytest.mark.parametrize('name', HEADS)
+async def test_head_is_given_up_early(name):
+    """Guards against heads, chunk lines and trailers as long as bodies."""
+    first, rest = FLOODS[name]
+    connection = httpwire.Connection()
+    taken = await feed(connection, first, rest)
+    assert taken <= 4 * httpwire.MAX_FRAMING_BYTES
+
+
+async def feed(connection, first, rest):
+    """Feed without a socket; returns the bytes taken until the close."""
+    transport = Transport()
+    connection.connection_made(transport)
+    exchange = asyncio.ensure_future(
+        connection.exchange([b''], lambda raw: raw.find('x-attempt-id') == 'a')
+    )
+    await asyncio.sleep(0)
+    taken, data = 0, first + rest
+    while not transport.closed and taken < 1 << 23:
+        view = connection.get_buffer(-1)
+        piece = data[: min(len(view), 1000)]
+        view[: len(piece)] = piece
+        connection.buffer_updated(len(piece))
+        taken += len(piece)
+        data = data[len(piece) :] or rest
+    connection.connection_lost(None)
+    with pytest.raises(errors.PeerLost):
+        await exchange
+    return taken
+
+
+class Transport:
+    """Takes the place of a socket."""
+
+    def __init__(self):
+        self.closed = False
+
+    def get_extra_info(self, _name):
+        return None
+
+    def writelines(self, _data):
+        pass
+
+    def is_closing(self):
+        return self.closed
+
+    def abort(self):
+        self.closed = True
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+
+async def test_bytes_after_an_answer_end_the_connection():
+    """Guards against a connection that is kept while bytes still come."""
+    with flood(wires.encode_whole(), BULK) as raw:
+        port = raw.build_port()
+        async with Watch(port) as watch, asyncio.timeout(4):
+            reply = await port.send(wires.make_head(), b'')
+            assert await wholes.read_answer(reply) == b'whole'
+            await asyncio.sleep(0.1)
+            sent = raw.sent
+            await asyncio.sleep(0.05)
+        assert raw.sent == sent < ON_THE_WAY_BYTES
+        assert max(watch.held) < HELD_S
+        port.drop_idle()
+
+
+async def test_all_answers_together_are_bounded():
+    """Guards against many large answers that each keep within the limit."""
+    length = httpwire.MAX_ANSWER_BYTES - 1
+    first = HEAD + f'Content-Length: {length}\r\n\r\n'.encode()
+
+    def serve(raw, one, _number):
+        while b'GET /fine' in raw.read_head(one):
+            one.sendall(wires.encode_whole())
+        raw.send(one, first)
+        # Never whole, so all of them are held at the same time.
+        for _ in range(length // len(BULK)):
+            raw.send(one, BULK)
+        raw.read_head(one)
+
+    with wires.RawServer(serve) as raw:
+        port = raw.build_port()
+        async with Watch(port) as watch, asyncio.timeout(10):
+            found = await run_until(port, 24, 1.5)
+        assert watch.peak - watch.before < GROWTH_BYTES
+        assert statistics.median(watch.taken) < MEDIAN_S
+        lost = [one for one in found if isinstance(one, errors.PeerLost)]
+        assert lost
+        port.drop_idle()
+
+
+async def run_until(port, count, limit_s):
+    """Return what became of the requests after some time."""
+    tasks = [
+        asyncio.ensure_future(port.send(wires.make_head(), b''))
+        for _ in range(count)
+    ]
+    await asyncio.wait(tasks, timeout=limit_s)
+    for task in tasks:
+        task.cancel()
+    return await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/test/wires.py
@@ -0,0 +1,134 @@
+"""Raw servers that write given bytes, and requests to them."""
+
+import contextlib
+import select
+import socket
+import struct
+import threading
+import time
+
+from sesamejunction.border import httpwire
+from sesamejunction.model import requests
+from sesamejunction.platform import server
+
+# Makes close() reset the connection.
+RESET = struct.pack('ii', 1, 0)
+# Longer than any of these tests.
+SEND_S = 20.0
+
+
+def make_head(attempt='a', path='/', method='GET', repeatable=True, left_s=5):
+    """Return the head of a request; ``attempt`` None sends no id."""
+    headers = () if attempt is None else (('X-Attempt-Id', attempt),)
+    return requests.Head(
+        'r1', 'orders', method, path, None, None, 'one',
+        time.monotonic() + left_s, repeatable, headers,
+    )  # fmt: skip
+
+
+def encode(status, *fields, body=b'', attempt='a'):
+    """Return an answer with a length."""
+    lines = [f'HTTP/1.1 {status} X']
+    if attempt is not None:
+        lines.append(f'X-Attempt-Id: {attempt}')
+    lines += [*fields, f'Content-Length: {len(body)}', '', '']
+    return '\r\n'.join(lines).encode() + body
+
+
+def encode_whole(body=b'whole', attempt='a'):
+    """Return a success as a sound target writes it."""
+    return encode(200, 'X-Response-Signature: s', body=body, attempt=attempt)
+
+
+def encode_refusal(status=503, attempt='a'):
+    """Return a refusal that says "not run"."""
+    return encode(status, 'X-Not-Executed: 1', attempt=attempt)
+
+
+class RawServer:
+    """Serves each connection in a thread of its own.
+
+    ``serve`` gets the server, a socket and the number of the connection,
+    from 0.
+    """
+
+    def __init__(self, serve):
+        self._serve = serve
+        self._listener = socket.create_server(('127.0.0.1', 0))
+        self._sockets = []
+        self._threads = []
+        self.port = self._listener.getsockname()[1]
+        self.sent = 0
+        self.heads = []
+
+    def __enter__(self):
+        self._start(self._accept)
+        return self
+
+    def __exit__(self, *_exc):
+        for one in (self._listener, *self._sockets):
+            with contextlib.suppress(OSError):
+                one.shutdown(socket.SHUT_RDWR)
+            one.close()
+        for one in self._threads:
+            one.join(5)
+
+    @property
+    def count(self) -> int:
+        """Return how many connections were made."""
+        return len(self._sockets)
+
+    def read_head(self, one) -> bytes:
+        """Return the next request; raises OSError at the end."""
+        head = b''
+        while not head.endswith(b'\r\n\r\n'):
+            piece = one.recv(1)
+            if not piece:
+                raise OSError('closed')
+            head += piece
+        self.heads.append(head)
+        return head
+
+    def send(self, one, data) -> None:
+        """Send and count the bytes taken by the system."""
+        one.sendall(data)
+        self.sent += len(data)
+
+    def build_port(self):
+        """Return the hosted node's port to this server."""
+        connections = httpwire.TargetConnections('127.0.0.1', self.port)
+        return server.ServerPort(connections, lambda: '', time.monotonic)
+
+    def _accept(self) -> None:
+        while True:
+            one, _ = self._listener.accept()
+            one.settimeout(SEND_S)
+            number = len(self._sockets)
+            self._sockets.append(one)
+            self._start(self._serve, self, one, number)
+
+    def _start(self, function, *arguments) -> None:
+        def run():
+            with contextlib.suppress(OSError):
+                function(*arguments)
+
+        thread = threading.Thread(target=run, daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+
+def reset(one) -> None:
+    """Close with a reset, after what was sent has been read."""
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    one.close()
+
+
+def is_closed(one, limit_s=2.0) -> bool:
+    """Return whether the other side closes the connection in time."""
+    ready, _, _ = select.select([one], [], [], limit_s)
+    if not ready:
+        return False
+    try:
+        return one.recv(1) == b''
+    except OSError:
+        return True
