Believe a refusal only if it cannot be a copy

What callers saw: a target wrote an earlier refusal once more on a kept connection, and a request sent again under the same attempt id got "not run, try again" although the target ran it.

Cause: answers were matched by the attempt id alone, and a retry sends the same id, possibly on the same connection. Bytes that had arrived but were not read, or the beginning of a second answer in the same packet, did not end a kept connection, so the next request met them.

Change: a connection that carried a refusal of an id is not used for that id again; it is closed after 64 refusals, so that no id is forgotten. An idle connection with unread bytes or an unread close is dropped before the send. Bytes behind an answer end the connection. A refusal with a success status, with two ids, or followed by another answer to the request is an unknown outcome. Only a repeated id costs a connection.

--- a/sesamejunction/border/httpwire.py
+++ b/sesamejunction/border/httpwire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import select
 
 import httptools
 
@@ -12,6 +13,11 @@
 # Read at once. After a full read other connections have their turn, since a
 # flood would otherwise be parsed for as long as it comes.
 READ_BYTES = 1 << 16
+# A connection on which an id was refused does not carry it again, since a copy
+# of the refusal could not be told from a new one. A connection is closed
+# after so many refusals, so that none is forgotten; at 1,000 refusals a
+# second that is 16 new connections.
+MAX_REFUSED_IDS = 64
 # Bytes of one exchange that belong to no body: heads, interim answers, chunk
 # lines and trailers. A head takes 1 or 2 KB; the body's size is added, so
 # that small chunks are not refused.
@@ -37,12 +43,17 @@
 
 @dataclasses.dataclass(slots=True)
 class RawAnswer:
-    """An answer as it came; header names are in lower case."""
+    """An answer as it came; header names are in lower case.
+
+    ``contradicted`` says that another answer to the same request, with
+    another status, came right behind it.
+    """
 
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     body: bytearray = dataclasses.field(default_factory=bytearray)
     has_length: bool = False
+    contradicted: bool = False
 
     def find(self, name: str) -> str | None:
         """Return the first value of a header, None without one."""
@@ -51,6 +62,10 @@
                 return value
         return None
 
+    def find_all(self, name: str) -> set[str]:
+        """Return the different values of a header."""
+        return {value for known, value in self.headers if known == name}
+
 
 class Intake:
     """What the connections to one target share while answers arrive."""
@@ -101,6 +116,9 @@
         self.idle_limit_s = IDLE_S
         self._parser = None
         self._answer = None
+        self._whole = None
+        self._refused = set()
+        self._unread = select.poll()
         self._waiter = None
         self._accepts = None
         self._reusable = True
@@ -113,6 +131,27 @@
         found = transport.get_extra_info('socket')
         if found is not None:
             pools.set_user_timeout(found)
+            self._unread.register(
+                found.fileno(), select.POLLIN | select.POLLRDHUP
+            )
+
+    def may_carry(self, attempt: str | None) -> bool:
+        """Return whether a refusal of the attempt could not be a copy."""
+        return hash(attempt) not in self._refused
+
+    def note_refused(self, attempt: str | None) -> None:
+        """Remember the id of a refused attempt, None for one without."""
+        self._refused.add(hash(attempt))
+        if len(self._refused) >= MAX_REFUSED_IDS:
+            self._reusable = False
+
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes or a close wait that the loop has not read.
+
+        They belong to no request, and the next one must not meet them.
+        """
+        return bool(self._unread.poll(0))
 
     @property
     def is_usable(self) -> bool:
@@ -132,6 +171,7 @@
         self._accepts = accepts
         self._parser = httptools.HttpResponseParser(self)
         self._begun = False
+        self._whole = None
         self.size = self._framing = self._interim = self._others = 0
         self._intake.begin(self)
         self.transport.writelines(data)
@@ -175,9 +215,10 @@
         try:
             self._parser.feed_data(self._intake.view[:nbytes])
         except httptools.HttpParserError:
-            self.fail('unreadable bytes')
+            self._end_unread('unreadable bytes')
         except httptools.HttpParserUpgrade:
-            self.fail('an unexpected change of protocol')
+            self._end_unread('an unexpected change of protocol')
+        self._deliver()
         self._framing += nbytes - (self.size - before)
         if self._framing > MAX_FRAMING_BYTES + self.size:
             self.fail('a head or chunk lines that are too large')
@@ -189,9 +230,19 @@
         if not self.transport.is_closing():
             self.transport.resume_reading()
 
+    def _end_unread(self, reason) -> None:
+        """Let a whole answer stand when the bytes behind it are unusable."""
+        self._reusable = False
+        if self._whole is None:
+            self.fail(reason)
+
+    def _deliver(self) -> None:
+        if self._whole is not None and not self._waiter.done():
+            self._waiter.set_result(self._whole)
+
     def _give_up(self, reason):
         """Fail, and end the parser's work on what has come."""
-        self.fail(reason)
+        self._end_unread(reason)
         raise errors.TargetSilent(reason)
 
     def eof_received(self):
@@ -207,6 +258,7 @@
             and answer.status >= 200
         ):
             self._complete()
+            self._deliver()
         return False
 
     def connection_lost(self, exc):
@@ -215,7 +267,9 @@
         self.fail('the connection was closed')
 
     def on_message_begin(self):
-        """Begin an answer."""
+        """Begin an answer; behind a whole one it ends the connection."""
+        if self._whole is not None:
+            self._reusable = False
         self._answer = RawAnswer()
         self._lines = 0
 
@@ -255,10 +309,6 @@
         self._complete()
 
     def _complete(self) -> None:
-        if self._waiter is None or self._waiter.done():
-            # A second answer on the wire; nothing more is read here.
-            self._reusable = False
-            return
         if not self._accepts(self._answer):
             # A late answer to an earlier request; ours may follow, but the
             # connection is not used again.
@@ -268,7 +318,10 @@
             if self._others > MAX_OTHER_ANSWERS:
                 self._give_up('too many answers to other requests')
             return
-        self._waiter.set_result(self._answer)
+        if self._whole is None:
+            self._whole = self._answer
+        elif self._answer.status != self._whole.status:
+            self._whole.contradicted = True
 
 
 class TargetConnections:
@@ -285,22 +338,37 @@
     async def __aexit__(self, *_exc):
         self.drop_idle()
 
-    async def take(self, fresh: bool) -> Connection:
+    async def take(
+        self, fresh: bool, attempt: str | None = None
+    ) -> Connection:
         """Return a connection; raises PeerUnavailable without one.
 
-        ``fresh`` asks for one that the target cannot have forgotten.
+        ``fresh`` asks for one that the target cannot have forgotten. The
+        connection has carried no refusal of ``attempt``. A request must be
+        sent on it before the loop runs again.
         """
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        while self._idle:
-            one = self._idle[-1]
+        return self._take_idle(fresh, attempt) or await self._connect()
+
+    def _take_idle(self, fresh, attempt) -> Connection | None:
+        now = asyncio.get_running_loop().time()
+        for place in reversed(range(len(self._idle))):
+            one = self._idle[place]
             idle_s = now - one.idle_since
-            if not one.is_usable or idle_s > one.idle_limit_s:
-                self._idle.pop().abort()
+            if (
+                not one.is_usable
+                or idle_s > one.idle_limit_s
+                or one.has_unread
+            ):
+                self._idle.pop(place).abort()
                 continue
             if fresh and idle_s > FRESH_S:
                 break
-            return self._idle.pop()
+            if one.may_carry(attempt):
+                return self._idle.pop(place)
+        return None
+
+    async def _connect(self) -> Connection:
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_S):
                 _, made = await loop.create_connection(
--- a/sesamejunction/platform/server.py
+++ b/sesamejunction/platform/server.py
@@ -5,6 +5,7 @@
 from sesamejunction.border import httpwire
 from sesamejunction.commands import ports as porting
 from sesamejunction.commands import wholes
+from sesamejunction import errors
 from sesamejunction.model import requests
 from sesamejunction.platform import names
 
@@ -13,6 +14,7 @@
 REQUEST_ID = names.REQUEST_ID.lower()
 NOT_RUN = names.NOT_RUN.lower()
 RETRY_AFTER_S = 0.1
+SUCCESSES = range(200, 300)
 
 
 class ServerPort:
@@ -35,15 +37,23 @@
         Raises PeerUnavailable when nothing was sent, PeerLost when the
         answer is missing.
         """
-        connection = await self._connections.take(not head.repeatable)
+        attempt = find_header(head.headers, REQUEST_ID)
+        connection = await self._connections.take(not head.repeatable, attempt)
         left_ms = max(1, int((head.deadline - self._clock()) * 1000))
         data = encode_request(head, body, left_ms, self._find_target())
-        attempt = find_header(head.headers, REQUEST_ID)
+        own = set() if attempt is None else {attempt}
         raw = await connection.exchange(
-            data, lambda answer: answer.find(REQUEST_ID) == attempt
+            data, lambda answer: answer.find_all(REQUEST_ID) == own
         )
+        try:
+            reply = decode_answer(raw)
+        except errors.PeerLost:
+            connection.abort()
+            raise
+        if isinstance(reply, requests.Refusal):
+            connection.note_refused(attempt)
         self._connections.give_back(connection, find_idle_limit(raw))
-        return decode_answer(raw)
+        return reply
 
     def drop_idle(self) -> None:
         """Close idle connections."""
@@ -80,7 +90,14 @@
 def decode_answer(
     raw: httpwire.RawAnswer,
 ) -> requests.Answer | requests.Refusal:
-    """Return the answer, or a Refusal for work that the server declined."""
+    """Return the answer, or a Refusal for work that the server declined.
+
+    Raises PeerLost when the answer contradicts itself, since a refusal of
+    what has run must not be passed on as "not run".
+    """
+    is_refusal = raw.status == MISDIRECTED or raw.find(NOT_RUN) is not None
+    if is_refusal and (raw.contradicted or raw.status in SUCCESSES):
+        raise errors.TargetSilent('the server refused and answered')
     if raw.status == MISDIRECTED:
         return porting.refuse(
             requests.Code.NOT_OWNER,
--- /dev/null
+++ b/test/test_repeats.py
@@ -0,0 +1,154 @@
+"""Guards against a refusal that a target writes once more."""
+
+import asyncio
+import dataclasses
+import time
+
+import pytest
+
+from sesamejunction.border import httpwire
+from sesamejunction.commands import wholes
+from sesamejunction import errors
+from sesamejunction.model import requests
+from test import wires
+
+REFUSAL = wires.encode_refusal()
+WHOLE = wires.encode_whole()
+WHOLE_B = wires.encode_whole(attempt='b')
+NO_ID = wires.encode_refusal(attempt=None)
+# Long enough for bytes to arrive over loopback.
+ARRIVE_S = 0.03
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """What connection 0 writes to its first and second request.
+
+    ``later`` comes without a request, before the second one. ``blocked``
+    keeps the loop from reading it. Other connections answer ``b`` and ``a``
+    as a sound target does. ``second`` is the id of the second request;
+    ``connections`` are made in all.
+    """
+
+    answers: tuple[bytes, ...]
+    later: bytes = b''
+    blocked: bool = False
+    first: str | None = 'a'
+    second: str | None = 'b'
+    connections: int = 2
+
+
+CASES = {
+    # A connection costs about 1 ms; only a repeated id needs another.
+    'no copy, another id': Case((REFUSAL, WHOLE_B), connections=1),
+    'copy in place of an answer': Case((REFUSAL, REFUSAL), second='a'),
+    'copy before the answer': Case((REFUSAL, REFUSAL + WHOLE), second='a'),
+    'copy of 421': Case((wires.encode_refusal(421),) * 2, second='a'),
+    'copy of 429': Case((wires.encode_refusal(429),) * 2, second='a'),
+    'copy without ids': Case((NO_ID, NO_ID), first=None, second=None),
+    'copy while idle': Case((REFUSAL, REFUSAL), REFUSAL, second='a'),
+    'copy unread at the send': Case((REFUSAL,) * 2, REFUSAL, True, second='a'),
+    'copy unread, another id': Case((REFUSAL, b''), REFUSAL, True),
+    'copy without id unread': Case((REFUSAL, b''), NO_ID, True),
+    'copy in the same packet': Case((REFUSAL + REFUSAL, b'')),
+    'part of a copy': Case((REFUSAL + REFUSAL[:9], REFUSAL[9:])),
+    'line ends behind a refusal': Case((REFUSAL, b''), b'\r\n', True),
+    'close unread at the send': Case((REFUSAL,), b'close', True),
+    'copy for another id': Case(
+        (REFUSAL, REFUSAL + WHOLE_B), connections=1
+    ),
+}  # fmt: skip
+
+
+def serve_case(case):
+    def serve(raw, one, number):
+        for answer in case.answers if number == 0 else ():
+            raw.read_head(one)
+            raw.send(one, answer)
+            if len(raw.heads) == 1 and case.later == b'close':
+                one.close()
+            elif len(raw.heads) == 1:
+                time.sleep(ARRIVE_S / 3)
+                raw.send(one, case.later)
+        while True:
+            sent = b'X-Attempt-Id: b' in raw.read_head(one)
+            attempt = case.second and ('b' if sent else 'a')
+            raw.send(one, wires.encode_whole(attempt=attempt))
+
+    return wires.RawServer(serve)
+
+
+# Guards against "not run" for a request that runs, and against requests lost
+# to bytes that came behind an earlier answer.
+@pytest.mark.parametrize('case', CASES.values(), ids=CASES)
+async def test_refusal_is_believed_once(case):
+    with serve_case(case) as raw:
+        port = raw.build_port()
+        async with asyncio.timeout(2):
+            found = await send(port, case.first)
+            assert isinstance(found, requests.Refusal)
+            if case.blocked:
+                time.sleep(ARRIVE_S)
+            elif case.later:
+                await asyncio.sleep(ARRIVE_S)
+            found = await send(port, case.second)
+            assert await wholes.read_answer(found) == b'whole'
+        assert raw.count == case.connections
+        port.drop_idle()
+
+
+async def send(port, attempt):
+    """Send a request that may not be repeated."""
+    head = wires.make_head(attempt, method='POST', repeatable=False)
+    return await port.send(head, b'')
+
+
+CONTRADICTIONS = {
+    'refusal, then the answer': REFUSAL + WHOLE,
+    'refusal with a success': wires.encode(200, 'X-Not-Executed: 1'),
+    'signed refusal with a success': wires.encode(
+        200, 'X-Not-Executed: 1', 'X-Response-Signature: s'
+    ),
+    'refusal of two requests': wires.encode(
+        503, 'X-Not-Executed: 1', 'X-Attempt-Id: b'
+    ),
+    'refusal without the id': NO_ID,
+}
+
+
+# Guards against "not run" from a refusal that may be of another request.
+@pytest.mark.parametrize('answer', CONTRADICTIONS.values(), ids=CONTRADICTIONS)
+async def test_ambiguous_refusal_is_an_unknown_outcome(answer):
+    def serve(raw, one, _number):
+        raw.read_head(one)
+        raw.send(one, answer)
+        time.sleep(ARRIVE_S)
+        one.shutdown(wires.socket.SHUT_WR)
+        assert wires.is_closed(one)
+
+    with wires.RawServer(serve) as raw:
+        port = raw.build_port()
+        async with asyncio.timeout(2):
+            with pytest.raises(errors.PeerLost):
+                await send(port, 'a')
+        port.drop_idle()
+
+
+async def test_refused_ids_of_a_connection_are_bounded():
+    """Guards against a list that grows, or forgets, under many refusals."""
+    limit = httpwire.MAX_REFUSED_IDS
+
+    def serve(raw, one, _number):
+        while True:
+            head = raw.read_head(one).decode()
+            attempt = head.partition('X-Attempt-Id: ')[2].split('\r\n')[0]
+            raw.send(one, wires.encode_refusal(attempt=attempt))
+
+    with wires.RawServer(serve) as raw:
+        port = raw.build_port()
+        async with asyncio.timeout(5):
+            for number in range(3 * limit):
+                found = await send(port, str(number))
+                assert isinstance(found, requests.Refusal)
+        assert raw.count == 3
+        port.drop_idle()
