Pass on no success without the target's signature

What callers saw: a success that no target had signed was passed on.

Cause: the platform's header for it was not looked at.

Change: a 2xx without X-Response-Signature, or with an empty one, is no whole answer of the target; its outcome is unknown, and it is repeated if it may be. Errors need no signature.

Failed before: of test_broken_success_is_lost "no signature", "signature without value" and "no signature, until close" with "assert b'whole answer' == 'lost'" and "no signature, no content" with "assert b'' == 'lost'".

--- a/sesamejunction/platform/names.py
+++ b/sesamejunction/platform/names.py
@@ -11,6 +11,9 @@
 CALLER_SERVICE = 'X-Caller-Service'
 EXPECTED_TARGET = 'X-Target-Instance'
 NOT_RUN = 'X-Not-Executed'
+# In each success of a target; an answer without it did not come from there,
+# or not whole.
+SIGNATURE = 'X-Response-Signature'
 
 # Fields that the router sets, or that concern one connection only.
 NOT_PASSED_ON = frozenset(
--- a/sesamejunction/platform/server.py
+++ b/sesamejunction/platform/server.py
@@ -13,6 +13,7 @@
 MISDIRECTED = 421
 REQUEST_ID = names.REQUEST_ID.lower()
 NOT_RUN = names.NOT_RUN.lower()
+SIGNATURE = names.SIGNATURE.lower()
 RETRY_AFTER_S = 0.1
 SUCCESSES = range(200, 300)
 
@@ -93,7 +94,8 @@
     """Return the answer, or a Refusal for work that the server declined.
 
     Raises PeerLost when the answer contradicts itself, since a refusal of
-    what has run must not be passed on as "not run".
+    what has run must not be passed on as "not run", and when a success has
+    no signature.
     """
     is_refusal = raw.status == MISDIRECTED or raw.find(NOT_RUN) is not None
     if is_refusal and (raw.contradicted or raw.status in SUCCESSES):
@@ -110,6 +112,8 @@
             f'the server declined with {raw.status}',
             retry_after_s=RETRY_AFTER_S,
         )
+    if raw.status in SUCCESSES and not raw.find(SIGNATURE):
+        raise errors.TargetSilent('a success without its signature')
     headers = tuple(
         (name, value)
         for name, value in raw.headers
--- a/test/test_cuts.py
+++ b/test/test_cuts.py
@@ -160,6 +160,13 @@
     'interim answer only': b'HTTP/1.1 100 Continue\r\n\r\n',
     'interim answer, cut head': b'HTTP/1.1 100 Continue\r\n\r\n' + HEAD,
     'line feeds only': LENGTH.replace(b'\r\n', b'\n'),
+    'no signature': wires.encode(200, body=BODY),
+    'no signature, no content': wires.encode(204),
+    'signature without value': wires.encode(
+        200, 'X-Response-Signature: ', body=BODY
+    ),
+    'no signature, until close': START + b'X-Attempt-Id: a\r\n'
+    b'Connection: close\r\n\r\n' + BODY,
 }  # fmt: skip
 
 
