--- a/sesamejunction/border/httpwire.py
+++ b/sesamejunction/border/httpwire.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import select
 
 import httptools
 
@@ -9,8 +10,29 @@
 from sesamejunction import errors
 
 CONNECT_S = 0.3
-# Answers larger than this are not held.
-MAX_ANSWER_BYTES = 1 << 26
+# Read at once. After a full read other connections have their turn, since a
+# flood would otherwise be parsed for as long as it comes.
+READ_BYTES = 1 << 16
+# A connection on which an id was refused does not carry it again, since a copy
+# of the refusal could not be told from a new one. A connection is closed
+# after so many refusals, so that none is forgotten; at 1,000 refusals a
+# second that is 16 new connections.
+MAX_REFUSED_IDS = 64
+# Bytes of one exchange that belong to no body: heads, interim answers, chunk
+# lines and trailers. A head takes 1 or 2 KB; the body's size is added, so
+# that small chunks are not refused.
+MAX_FRAMING_BYTES = 1 << 16
+# Each line costs a call of the parser; the platform's answers have about ten.
+MAX_HEADER_LINES = 128
+# Interim answers (1xx) to one request; one or two are usual.
+MAX_INTERIM_ANSWERS = 8
+# Answers to other requests in place of one's own. A connection carries one
+# request at a time, so that a sound target sends none.
+MAX_OTHER_ANSWERS = 4
+# Body of one answer, and bodies that are arriving on all connections. A node
+# has 200 MB in all, and a body is copied up to three times on its way.
+MAX_ANSWER_BYTES = 1 << 24
+MAX_ARRIVING_BYTES = 3 << 24
 # Connections idle for longer are not used again; a target closes them after
 # its own time, which it may state in Keep-Alive.
 IDLE_S = 8.0
@@ -21,12 +43,18 @@
 
 @dataclasses.dataclass(slots=True)
 class RawAnswer:
-    """An answer as it came; header names are in lower case."""
+    """An answer as it came; header names are in lower case.
+
+    ``contradicted`` says that another answer to the same request, with
+    another status, came right behind it.
+    """
 
     status: int = 0
     headers: list[tuple[str, str]] = dataclasses.field(default_factory=list)
     body: bytearray = dataclasses.field(default_factory=bytearray)
     has_length: bool = False
+    announces_close: bool = False
+    contradicted: bool = False
 
     def find(self, name: str) -> str | None:
         """Return the first value of a header, None without one."""
@@ -35,19 +63,76 @@
                 return value
         return None
 
+    def find_all(self, name: str) -> set[str]:
+        """Return the different values of a header."""
+        return {value for known, value in self.headers if known == name}
+
+    @property
+    def is_whole_at_close(self) -> bool:
+        """Return whether an orderly close may be the end of the body.
+
+        Without the announcement, or without a body, a success is taken for
+        one whose head was cut before its length.
+        """
+        return (
+            not self.has_length
+            and self.announces_close
+            and (bool(self.body) or not 200 <= self.status < 300)
+        )
+
+
+class Intake:
+    """What the connections to one target share while answers arrive."""
+
+    def __init__(self):
+        # Filled and parsed without a pause between, so one is enough.
+        self.view = memoryview(bytearray(READ_BYTES))
+        self._arriving = set()
+        self._size = 0
+
+    def begin(self, one: 'Connection') -> None:
+        """Count the bodies of a connection."""
+        self._arriving.add(one)
 
-class Connection(asyncio.Protocol):
+    def end(self, one: 'Connection') -> None:
+        """Count them no more."""
+        if one in self._arriving:
+            self._arriving.remove(one)
+            self._size -= one.size
+
+    def grow(self, count: int) -> None:
+        """Count more bytes; over the limit the largest answer is ended.
+
+        The largest is the most likely not to end, and small answers go on.
+        """
+        self._size += count
+        if self._size > MAX_ARRIVING_BYTES:
+            largest = max(self._arriving, key=lambda one: one.size)
+            largest.fail('more than all answers may hold together')
+
+
+class Connection(asyncio.BufferedProtocol):
     """One connection; parses one answer at a time.
 
     ``accepts`` tells whether an answer belongs to the present request.
+    ``size`` is how many bytes of bodies have come for it.
     """
 
-    def __init__(self):
+    def __init__(self, intake: Intake | None = None):
+        self._intake = intake or Intake()
+        self.size = 0
+        self._framing = 0
+        self._lines = 0
+        self._interim = 0
+        self._others = 0
         self.transport = None
         self.idle_since = 0.0
         self.idle_limit_s = IDLE_S
         self._parser = None
         self._answer = None
+        self._whole = None
+        self._refused = set()
+        self._unread = select.poll()
         self._waiter = None
         self._accepts = None
         self._reusable = True
@@ -60,6 +145,27 @@
         found = transport.get_extra_info('socket')
         if found is not None:
             pools.set_user_timeout(found)
+            self._unread.register(
+                found.fileno(), select.POLLIN | select.POLLRDHUP
+            )
+
+    def may_carry(self, attempt: str | None) -> bool:
+        """Return whether a refusal of the attempt could not be a copy."""
+        return hash(attempt) not in self._refused
+
+    def note_refused(self, attempt: str | None) -> None:
+        """Remember the id of a refused attempt, None for one without."""
+        self._refused.add(hash(attempt))
+        if len(self._refused) >= MAX_REFUSED_IDS:
+            self._reusable = False
+
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes or a close wait that the loop has not read.
+
+        They belong to no request, and the next one must not meet them.
+        """
+        return bool(self._unread.poll(0))
 
     @property
     def is_usable(self) -> bool:
@@ -79,6 +185,9 @@
         self._accepts = accepts
         self._parser = httptools.HttpResponseParser(self)
         self._begun = False
+        self._whole = None
+        self.size = self._framing = self._interim = self._others = 0
+        self._intake.begin(self)
         self.transport.writelines(data)
         try:
             return await self._waiter
@@ -87,6 +196,7 @@
             raise
         finally:
             self._waiter = None
+            self._intake.end(self)
 
     def abort(self) -> None:
         """Close at once; a target drops what it runs for the connection."""
@@ -94,17 +204,55 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def data_received(self, data):
+    def fail(self, reason: str) -> None:
+        """End the exchange without an answer, and the connection."""
+        self._reusable = False
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_exception(
+                errors.TargetSilent(f'{reason} in place of an answer')
+            )
+            # What has come is released now, not when the request ends.
+            self._answer = None
+            self._intake.end(self)
+            self.abort()
+
+    def get_buffer(self, _sizehint):
+        """Return where the next bytes go."""
+        return self._intake.view
+
+    def buffer_updated(self, nbytes):
         """Parse what has come; bytes without a request end the connection."""
         if self._waiter is None or self._waiter.done():
             self.abort()
             return
+        before = self.size
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(self._intake.view[:nbytes])
         except httptools.HttpParserError:
-            self._fail('unreadable bytes')
+            # Also behind a whole answer: its length may have been cut.
+            self.fail('unreadable bytes')
         except httptools.HttpParserUpgrade:
-            self._fail('an unexpected change of protocol')
+            self.fail('an unexpected change of protocol')
+        self._framing += nbytes - (self.size - before)
+        if self._framing > MAX_FRAMING_BYTES + self.size:
+            self.fail('a head or chunk lines that are too large')
+        self._deliver()
+        if nbytes == READ_BYTES and not self.transport.is_closing():
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self._read_on)
+
+    def _read_on(self) -> None:
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _deliver(self) -> None:
+        if self._whole is not None and not self._waiter.done():
+            self._waiter.set_result(self._whole)
+
+    def _give_up(self, reason):
+        """Fail, and end the parser's work on what has come."""
+        self.fail(reason)
+        raise errors.TargetSilent(reason)
 
     def eof_received(self):
         """Complete an answer that ends with its connection."""
@@ -115,27 +263,37 @@
             and not self._waiter.done()
             and self._begun
             and answer is not None
-            and not answer.has_length
             and answer.status >= 200
+            and answer.is_whole_at_close
         ):
             self._complete()
+            self._deliver()
         return False
 
     def connection_lost(self, exc):
         """Fail the exchange that runs."""
         self.is_lost = True
-        self._fail('the connection was closed')
+        self.fail('the connection was closed')
 
     def on_message_begin(self):
-        """Begin an answer."""
+        """Begin an answer; behind a whole one it ends the connection."""
+        if self._whole is not None:
+            self._reusable = False
         self._answer = RawAnswer()
+        self._lines = 0
 
     def on_header(self, name: bytes, value: bytes):
         """Add a header."""
+        self._lines += 1
+        if self._lines > MAX_HEADER_LINES:
+            self._give_up('too many header lines')
         lower = name.decode('latin-1').lower()
         if lower in ('content-length', 'transfer-encoding'):
             self._answer.has_length = True
-        self._answer.headers.append((lower, value.decode('latin-1')))
+        text = value.decode('latin-1')
+        if lower == 'connection' and 'close' in text.lower():
+            self._answer.announces_close = True
+        self._answer.headers.append((lower, text))
 
     def on_headers_complete(self):
         """Note that the head is whole."""
@@ -144,38 +302,38 @@
 
     def on_body(self, body: bytes):
         """Add a piece of the body."""
+        self.size += len(body)
+        self._intake.grow(len(body))
+        if self.size > MAX_ANSWER_BYTES or self._answer is None:
+            self._give_up('an answer that is too large')
         self._answer.body += body
-        if len(self._answer.body) > MAX_ANSWER_BYTES:
-            self._fail('an answer that is too large')
 
     def on_message_complete(self):
         """Give the answer to its request."""
         if self._answer.status < 200:
             self._begun = False
+            self._interim += 1
+            if self._interim > MAX_INTERIM_ANSWERS:
+                self._give_up('too many interim answers')
             return
         if not self._parser.should_keep_alive():
             self._reusable = False
         self._complete()
 
     def _complete(self) -> None:
-        if self._waiter is None or self._waiter.done():
-            # A second answer on the wire; nothing more is read here.
-            self._reusable = False
-            return
         if not self._accepts(self._answer):
             # A late answer to an earlier request; ours may follow, but the
             # connection is not used again.
             self._reusable = False
             self._begun = False
+            self._others += 1
+            if self._others > MAX_OTHER_ANSWERS:
+                self._give_up('too many answers to other requests')
             return
-        self._waiter.set_result(self._answer)
-
-    def _fail(self, reason) -> None:
-        self._reusable = False
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(
-                errors.TargetSilent(f'{reason} in place of an answer')
-            )
+        if self._whole is None:
+            self._whole = self._answer
+        elif self._answer.status != self._whole.status:
+            self._whole.contradicted = True
 
 
 class TargetConnections:
@@ -184,6 +342,7 @@
     def __init__(self, host: str, port: int):
         self._address = (host, port)
         self._idle = []
+        self._intake = Intake()
 
     async def __aenter__(self):
         return self
@@ -191,26 +350,41 @@
     async def __aexit__(self, *_exc):
         self.drop_idle()
 
-    async def take(self, fresh: bool) -> Connection:
+    async def take(
+        self, fresh: bool, attempt: str | None = None
+    ) -> Connection:
         """Return a connection; raises PeerUnavailable without one.
 
-        ``fresh`` asks for one that the target cannot have forgotten.
+        ``fresh`` asks for one that the target cannot have forgotten. The
+        connection has carried no refusal of ``attempt``. A request must be
+        sent on it before the loop runs again.
         """
-        loop = asyncio.get_running_loop()
-        now = loop.time()
-        while self._idle:
-            one = self._idle[-1]
+        return self._take_idle(fresh, attempt) or await self._connect()
+
+    def _take_idle(self, fresh, attempt) -> Connection | None:
+        now = asyncio.get_running_loop().time()
+        for place in reversed(range(len(self._idle))):
+            one = self._idle[place]
             idle_s = now - one.idle_since
-            if not one.is_usable or idle_s > one.idle_limit_s:
-                self._idle.pop().abort()
+            if (
+                not one.is_usable
+                or idle_s > one.idle_limit_s
+                or one.has_unread
+            ):
+                self._idle.pop(place).abort()
                 continue
             if fresh and idle_s > FRESH_S:
                 break
-            return self._idle.pop()
+            if one.may_carry(attempt):
+                return self._idle.pop(place)
+        return None
+
+    async def _connect(self) -> Connection:
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_S):
                 _, made = await loop.create_connection(
-                    Connection, *self._address
+                    lambda: Connection(self._intake), *self._address
                 )
         except ConnectionRefusedError as error:
             raise errors.TargetGone(
