Fold only the records that have changed

Each change of a member record built the routes, keys, members and plans of the whole state anew on each node, and the tasks got new objects for parts that were the same. Folder keeps what is built from a record that is the same object, and parts that are equal.

--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -28,6 +28,7 @@
         self._fleet_topic = fleet_topic
         self._read_declared = read_declared
         self._subscribers = subscribers
+        self._folder = folding.Folder()
         self._records = {}
         self._declared = None
         self._evacuated = frozenset()
@@ -88,7 +89,7 @@
         )
 
     def _publish(self) -> None:
-        current = folding.fold_records(
+        current = self._folder.fold(
             (record for _, record in self._records.values()),
             self._declared,
             self._evacuated,
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -1,6 +1,7 @@
 """Decoding of what the platform sends: tolerant, complete, never back."""
 
 import asyncio
+import dataclasses
 import json
 import time
 
@@ -16,6 +17,7 @@
 from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.model import routing
+from sesamejunction.model import state
 from sesamejunction.platform import config
 from sesamejunction.platform import control
 from sesamejunction.platform import store
@@ -60,7 +62,62 @@
 
 def make_state(found=None):
     declared = config.decode_config(json.dumps(found or CONFIG).encode())
-    return folding.fold_records((), declared, frozenset(), 1)
+    return folding.Folder().fold((), declared, frozenset(), 1)
+
+
+def make_record(number, **fields):
+    made = registry.MemberRecord(
+        *(f'n{number}', number, 'a', '10.0.0.1', 1, 's', 1),
+        *(ranges.Life(f'n{number}', 't', 1),),
+    )
+    return dataclasses.replace(made, **fields)
+
+
+MEMBER = make_record(1)
+PLAN = registry.PlanRecord('s', (ranges.Range(0, 9, 1, MEMBER.life),))
+PLACES = state.Allocators((state.AllocatorPlace(1, 'n1', 1),))
+MOVED_PLACES = state.Allocators((state.AllocatorPlace(1, 'n1', 2),))
+DECLARED = config.decode_config(json.dumps(CONFIG).encode())
+NEWER = config.decode_config(json.dumps({**CONFIG, 'version': 8}).encode())
+BEFORE = (MEMBER, PLAN, PLACES)
+DECLARED_PARTS = {'routes', 'services', 'organisations', 'caller_keys'}
+CHANGES = {
+    'nothing': (BEFORE, DECLARED, set()),
+    'a member comes': ((*BEFORE, make_record(2)), DECLARED, {'members'}),
+    'a member leaves': (
+        (make_record(1, leaving=True), PLAN, PLACES),
+        *(DECLARED, {'members'}),
+    ),
+    'a member goes': ((PLAN, PLACES), DECLARED, {'members'}),
+    'another plan': (
+        (MEMBER, registry.PlanRecord('s', ()), PLACES),
+        *(DECLARED, {'ranges'}),
+    ),
+    'other allocators': (
+        (MEMBER, PLAN, MOVED_PLACES),
+        *(DECLARED, {'tables'}),
+    ),
+    'no allocators': ((MEMBER, PLAN), DECLARED, {'tables'}),
+    'a configuration': (BEFORE, NEWER, DECLARED_PARTS),
+}
+
+
+# Guards against a change of one record that builds routes and plans anew on
+# each node, and against parts that are kept although they have changed.
+@pytest.mark.parametrize(
+    ('records', 'declared', 'changed'), CHANGES.values(), ids=CHANGES
+)
+def test_folds_only_what_has_changed(records, declared, changed):
+    folder = folding.Folder()
+    before = folder.fold(BEFORE, DECLARED, {'z'}, 3, 1)
+    after = folder.fold(records, declared, {'z'}, 4, 2)
+    assert (after.offset, after.declared_end) == (4, 2)
+    names = ('members', 'ranges', 'tables', 'zones', *sorted(DECLARED_PARTS))
+    found = {
+        one for one in names if getattr(after, one) is not getattr(before, one)
+    }
+    assert found == changed
+    assert after == folding.Folder().fold(records, declared, {'z'}, 4, 2)
 
 
 ROUTES = {
