Wake up only while something waits

An idle hosted node had some 60 timed wake-ups a second: shares 20, allocators, planner and target lease 10 each, the registrar 3. Each is a turn of the loop. Shares now tick fast only with demand, allocators while a slot is not confirmed, the planner on the member that plans, the registrar while its record is not written, the target lease while keys, claims or an answer wait; messages bring ticks forward, and the time at which a silent target is noticed stays as it was.

--- a/sesamejunction/decisions/holding.py
+++ b/sesamejunction/decisions/holding.py
@@ -58,6 +58,11 @@
             for one in allocators[:1]:
                 self._sessions[one].misses = 0
 
+    @property
+    def is_active(self) -> bool:
+        """Return whether an organisation has demand or tokens here."""
+        return bool(self._active)
+
     def keep_only(self, organisations, members) -> None:
         """Forget organisations and allocators that no longer exist."""
         for one in [one for one in self.purses if one not in organisations]:
--- a/sesamejunction/tasks/allocators.py
+++ b/sesamejunction/tasks/allocators.py
@@ -12,6 +12,11 @@
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
+# Pause while a slot that was taken over is not confirmed yet, and otherwise:
+# only a new state or the end of a member gives this node another slot.
+TICK_S = 0.1
+IDLE_S = 5.0
+
 
 class Allocators(actor.Actor):
     """Answers share requests while the ownership task confirms the slot.
@@ -24,7 +29,7 @@
     """
 
     name = 'allocators'
-    tick_s = 0.1
+    tick_s = TICK_S
 
     def __init__(self, incarnation, owners, datagrams):
         super().__init__()
@@ -46,14 +51,17 @@
                 self._allocator.keep_only(
                     current.organisations, current.members
                 )
+                self.tick_within(0.0)
             case owning.MemberEnded(incarnation=incarnation):
                 self._ended.add(incarnation)
+                self.tick_within(0.0)
             case packets.Received(sender, messages.ShareRequest() as request):
                 if sender == request.holder:
                     await self._answer(request)
 
     async def tick(self) -> None:
         """Open the pools of slots that this node has taken over."""
+        self.tick_s = IDLE_S
         for name in self._state.organisations:
             first = shares.list_allocators(self._state, name, self._ended)[:1]
             if first != (self._incarnation,):
@@ -63,6 +71,8 @@
                     terms = await self._enter(stack, (name,), 'open')
                     if self._open(name, terms, clock.read_boot_clock()):
                         self._opened[name] = True
+                    else:
+                        self.tick_s = TICK_S
 
     async def _answer(self, request) -> None:
         names = [one.organisation for one in request.wants]
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -16,6 +16,9 @@
 from sesamejunction.tasks import clock
 
 TICK_S = 0.1
+# Other members look this often whether they plan; news of members comes with
+# messages, so only the loss of a planner's log waits for it.
+IDLE_S = 0.25
 # The first plan waits until no new target has registered for this time.
 SETTLE_S = 0.5
 # A silent node may be starting again while its target goes on.
@@ -78,13 +81,16 @@
                 self._silent_since = {
                     one: self._silent_since.get(one, now) for one in silent
                 }
+                self.tick_within(0.0)
             case LoadsCame(service=service, loads=loads):
                 self._loads[service] = loads
 
     async def tick(self) -> None:
         """Propose what the state still needs, one record at a time."""
         current = self._state
-        if not current.members or not self._is_planner():
+        is_planner = bool(current.members) and self._is_planner()
+        self.tick_s = TICK_S if is_planner else IDLE_S
+        if not is_planner:
             return
         if self._proposed_end == self._state.offset:
             # The proposal that was made from here is still to be read.
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -11,6 +11,8 @@
 
 # Pause before a record whose append failed is appended again.
 RETRY_S = 0.3
+# Ticks have nothing to do once the record is written.
+IDLE_S = 10.0
 
 
 class Registry(actor.Actor):
@@ -121,12 +123,16 @@
                 if again:
                     self._written = None
                 await self._write()
+                if self._wanted != self._written:
+                    self.tick_within(RETRY_S)
             case registry.Propose(record=record, end=end):
                 return await self._propose(record, end)
 
     async def tick(self) -> None:
         """Append the registration again if its append has failed."""
         await self._write()
+        done = self._wanted == self._written
+        self.tick_s = IDLE_S if done else RETRY_S
 
     async def _write(self) -> None:
         wanted = self._wanted
--- a/sesamejunction/tasks/shares.py
+++ b/sesamejunction/tasks/shares.py
@@ -19,6 +19,10 @@
 # Part of a request's remaining time that it may wait for a token.
 WAIT_PART = 0.5
 RETRY_AFTER_S = 0.5
+TICK_S = 0.05
+# Without demand nothing is asked for and nobody waits; a request brings the
+# next tick forward.
+IDLE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +54,7 @@
     """
 
     name = 'shares'
-    tick_s = 0.05
+    tick_s = TICK_S
 
     def __init__(self, incarnation, allocators, datagrams):
         super().__init__()
@@ -147,12 +151,15 @@
             self._serve_waiting(name, now)
         if not self._leaving:
             self._send(self._holder.list_requests(now))
+        busy = self._holder.is_active or any(self._waiting.values())
+        self.tick_s = TICK_S if busy else IDLE_S
 
     def _spend(self, message: sharing.Spend, now: float):
         name = message.organisation
         if name not in self._holder.purses:
             return sharing.OverRate(RETRY_AFTER_S)
         self._holder.count_demand(name, now)
+        self.tick_within(TICK_S)
         self._serve_waiting(name, now)
         if not self._waiting[name]:
             receipt = self._holder.spend(name, now)
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -21,6 +21,8 @@
 # Least time between two questions for the same release.
 CLAIM_S = 0.1
 TICK_S = 0.1
+# Longest pause while nothing waits and no message comes.
+IDLE_S = 0.5
 # A target whose hold has run out and that was not heard since has lost its
 # keys; so long after the end of the hold the node says so.
 SILENT_TARGET_S = deciding.HOLD_S + 0.3
@@ -98,6 +100,7 @@
     async def handle(self, message):
         """Handle one message."""
         now = clock.read_boot_clock()
+        self.tick_within(TICK_S)
         match message:
             case leasing.Heartbeat():
                 return self._take_heartbeat(message, now)
@@ -140,6 +143,26 @@
         ):
             self._is_silent = True
             self._register()
+        self.tick_s = self._find_pause(now)
+
+    def _find_pause(self, now) -> float:
+        """Return the seconds to the next tick if no message comes."""
+        answers = self._waiting is not None
+        if (
+            self.holdings.waiting
+            or self._claimants
+            or self._lease.is_releasing
+            # The copy may become current enough for a hold at any time.
+            or (answers and not self._last_answer.rows)
+        ):
+            return TICK_S
+        due = now + IDLE_S
+        if answers:
+            due = min(due, self._answer_at)
+        if not self._is_silent:
+            end = self._lease.heard_at + SILENT_TARGET_S
+            due = min(due, max(end, self._lease.hold_end))
+        return max(TICK_S, due - now)
 
     def _take_heartbeat(self, heartbeat, now):
         lease = self._lease
