Open a connection between nodes by up to three attempts

Five in a row used up the 2.5 s of a caller.

Each connection was one attempt that was given up after 0.5 s and begun anew. The operating system repeats a lost SYN only after 1 s, so a lost SYN always cost 0.5 s, and on a line that answers later than that no connection was ever made.

The connection is now tried again after 0.15 s and after 0.45 s, beside the attempts that go on, for up to 2 s. The first to succeed counts, the others are cancelled or closed, on cancellation too. An attempt that fails ends all, so a refused port is known as soon as before. A request still waits at most 0.5 s and then moves on; all requests that come meanwhile share the one opening, so one that returns to the same member finds it further on.

--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -15,8 +15,16 @@
 from sesamejunction.model import linking
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
+from sesamejunction.tasks import connector
 
+# A request waits so long for a connection; then the member counts as
+# unreachable for it and nothing has run.
 CONNECT_S = 0.5
+# The connection is tried for so long, for all requests that wait or come
+# meanwhile. On a line that answers after more than CONNECT_S, none would ever
+# be made if each request began anew. The operating system repeats a SYN after
+# 1 s.
+OPEN_S = 2.0
 # A connection that owes a reply and has been silent for this time is asked
 # for a sign of life. When none comes in the same time again, new exchanges use
 # another connection.
@@ -302,12 +310,14 @@
         loop = asyncio.get_running_loop()
         started, outcome = loop.time(), 'failed'
         try:
-            async with asyncio.timeout(CONNECT_S):
-                _, link = await loop.create_connection(
-                    lambda: Link(self._vitals),
-                    member.host,
-                    member.peer_port,
-                    local_addr=(self._host, 0),
+            async with asyncio.timeout(OPEN_S):
+                _, link = await connector.open_first(
+                    lambda: loop.create_connection(
+                        lambda: Link(self._vitals),
+                        member.host,
+                        member.peer_port,
+                        local_addr=(self._host, 0),
+                    )
                 )
             outcome = 'connected'
         finally:
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -318,3 +318,64 @@
     found, taken_s, connections = await run_request(peer, 1.5, **changes)
     assert (found, connections) == (outcome, made)
     assert within[0] <= taken_s <= within[1]
+
+
+class PromptPeer(Peer):
+    """Answers at once."""
+
+    def take_frame(self, frame) -> None:
+        if isinstance(frame, linking.Work):
+            self.send_frame(make_done(frame))
+
+
+LOST = math.inf
+
+
+# Guards against a lost SYN that makes a member unreachable, against a line on
+# which no connection is ever made since each is given up and begun anew, and
+# against a connection for each request: seconds that each attempt of a
+# connection takes, requests at once, outcome, (least, most) seconds, and
+# attempts made.
+@pytest.mark.parametrize(
+    ('delays_s', 'count', 'outcome', 'within', 'made'),
+    [
+        pytest.param([0, 0], 1, 'answer', (0.0, 0.1), 1, id='at once'),
+        pytest.param(
+            [LOST, 0, 0], 1, 'answer', (0.14, 0.3), 2, id='first SYN lost'
+        ),
+        pytest.param(
+            [LOST, 0, 0], 20, 'answer', (0.14, 0.3), 2, id='shared by all'
+        ),
+        pytest.param(
+            [LOST, LOST, 0], 1, 'answer', (0.44, 0.6), 3, id='two SYNs lost'
+        ),
+        pytest.param(
+            [0.8, 0.8, 0.8], 20, 'answer', (0.79, 1.1), 3, id='slow line'
+        ),
+        pytest.param(
+            *([LOST] * 3, 1, 'no-target not-run', (1.3, 1.6), 3),
+            id='nobody there',
+        ),
+    ],
+)
+async def test_connecting(monkeypatch, delays_s, count, outcome, within, made):
+    loop, calls = asyncio.get_running_loop(), []
+    connect = loop.create_connection
+
+    async def delay(*args, **options):
+        calls.append(args)
+        await asyncio.sleep(min(60, delays_s[len(calls) - 1]))
+        return await connect(*args, **options)
+
+    monkeypatch.setattr(loop, 'create_connection', delay)
+    started = clocks.read_boot_clock()
+    async with open_sender(PromptPeer) as (sender, member):
+        found = await asyncio.gather(
+            *(route(sender, member, started + 1.5) for _ in range(count))
+        )
+    taken_s = clocks.read_boot_clock() - started
+    assert set(found) == {outcome}
+    assert len(calls) == made
+    assert within[0] <= taken_s <= within[1]
+    await asyncio.sleep(0.01)
+    assert len(asyncio.all_tasks()) == 1
