--- a/sesamejunction/tasks/outgoing.py
+++ b/sesamejunction/tasks/outgoing.py
@@ -44,7 +44,7 @@
             self._fail(error)
             return
         # An open exchange lets the connection find out that it is silent.
-        self._watch, watched = self._link.start_exchange()
+        self._watch, watched = self._link.start_exchange(self._note_silent)
         watched.add_done_callback(self._note_lost)
         self._send(asked)
 
@@ -59,6 +59,11 @@
             linking.BodyPart(asked.turn, self._body[asked.start : ends])
         )
 
+    def _note_silent(self) -> None:
+        # Nothing runs before the last part, so another member may be asked.
+        if not self.sent_whole:
+            self._fail(errors.PeerUnavailable('the connection is silent'))
+
     def _note_lost(self, watched) -> None:
         if watched.cancelled() or watched.exception() is None:
             return
