--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -42,7 +42,7 @@
         self.reads_dropped = self._add(
             aioprometheus.Counter,
             'log_reads_dropped_total',
-            'Reads of a topic that were dropped because a peer was ahead',
+            'Reads of a topic that went silent while a peer was ahead',
         )
         self.key_moves = self._add(
             aioprometheus.Counter,
@@ -59,6 +59,7 @@
                 ('target_seconds', 'Time at the target'),
                 ('hop_seconds', 'Time of requests sent to another node'),
                 ('connect_seconds', 'Time to connect to a node, by outcome'),
+                ('body_seconds', 'Time until a large body came, by outcome'),
                 ('loop_late_seconds', 'Lateness of the event loop'),
             )
         }
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -1,11 +1,7 @@
 """Connections to other nodes, one or two a member, kept open."""
 
 import asyncio
-import collections.abc
 import dataclasses
-import itertools
-
-import eliot
 
 from sesamejunction.border import framing
 from sesamejunction.border import linkcodec
@@ -16,6 +12,8 @@
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
 from sesamejunction.tasks import connector
+from sesamejunction.tasks import link as linkage
+from sesamejunction.tasks import outgoing
 
 # A request waits so long for a connection; then the member counts as
 # unreachable for it and nothing has run.
@@ -25,159 +23,40 @@
 # be made if each request began anew. The operating system repeats a SYN after
 # 1 s.
 OPEN_S = 2.0
-# A connection that owes a reply and has been silent for this time is asked
-# for a sign of life. When none comes in the same time again, new exchanges use
-# another connection.
-SILENT_S = 0.4
-# A look that is later than this was delayed by this node's own loop. What the
-# peer sent meanwhile is read before the next look, after the same time.
-LATE_S = 0.05
-# Timers fire up to this much early.
-TICK_S = 0.002
 # Longest wait for the answer to a question of a task.
 ASK_S = 1.2
-# Bodies from this size use a connection of their own, so that they do not
-# hold up small frames on a slow line.
+# Bodies from this size are offered first and use a connection of their own,
+# so that they do not hold up small frames on a slow line.
 BULK_BYTES = 16 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
-    """An open exchange; ``tell_silent`` hears that its peer is silent."""
-
-    future: asyncio.Future
-    tell_silent: collections.abc.Callable[[], None] | None = None
-
-
-class Link(framing.FrameProtocol):
-    """The connecting side of one connection.
-
-    Silence ends no exchange: a late line or a busy peer may still bring the
-    reply. It retires the connection, so that new exchanges use another.
-    ``vitals`` says how this node itself fares.
-    """
-
-    def __init__(self, vitals):
-        super().__init__(vitals.traffic)
-        self._vitals = vitals
-        self._ids = itertools.count(1)
-        self._open = {}
-        self._heard_at = 0.0
-        self._watch = None
-        self._is_asked = False
-        self._is_put_off = False
-        self._retired = False
-
-    @property
-    def is_usable(self) -> bool:
-        """Return whether new exchanges may start."""
-        return not self._retired and self.is_open
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether replies may still come."""
-        return self.transport is not None and not self.transport.is_closing()
-
-    @property
-    def buffered(self) -> int:
-        """Return the bytes that wait for the peer or the line."""
-        if not self.is_open:
-            return 0
-        return self.transport.get_write_buffer_size()
-
-    def start_exchange(self, tell_silent=None) -> tuple[int, asyncio.Future]:
-        """Return the id of a new exchange and the future of its reply.
-
-        ``tell_silent`` is called when the connection is retired meanwhile.
-        """
-        loop = asyncio.get_running_loop()
-        number = next(self._ids)
-        future = loop.create_future()
-        if not self._open:
-            self._note_heard()
-        self._open[number] = Exchange(future, tell_silent)
-        if self._watch is None:
-            self._look_at(self._heard_at + SILENT_S)
-        return number, future
-
-    def end_exchange(self, number: int) -> None:
-        """Forget an exchange; its reply will be dropped."""
-        self._open.pop(number, None)
-        if self._retired and not self._open and self.is_open:
-            self.transport.abort()
-
-    def data_received(self, data):
-        """Note a sign of life; part of a long frame is one as well."""
-        self._note_heard()
-        super().data_received(data)
-
-    def take_frame(self, frame) -> None:
-        """Give a reply to the exchange that waits for it."""
-        found = self._open.get(frame.id)
-        if found is not None and not found.future.done():
-            found.future.set_result(frame)
-
-    def connection_lost(self, exc):
-        """Fail all exchanges."""
-        if self._watch is not None:
-            self._watch.cancel()
-            self._watch = None
-        lost, self._open = self._open, {}
-        for one in lost.values():
-            fail_exchange(one.future)
-
-    def _note_heard(self) -> None:
-        self._heard_at = asyncio.get_running_loop().time()
-        self._is_asked = False
-
-    def _look_at(self, due: float) -> None:
-        """Set the connection's one timer; ``due`` is on the loop's clock."""
-        loop = asyncio.get_running_loop()
-        self._watch = loop.call_at(due, self._look, due)
-
-    def _look(self, due: float) -> None:
-        """Find out whether a connection that owes replies still works."""
-        self._watch = None
-        if not self._open or not self.is_open:
-            return
-        now = asyncio.get_running_loop().time()
-        if now - due >= LATE_S and not self._is_put_off:
-            self._is_put_off = True
-            self._look_at(now + LATE_S)
-            return
-        self._is_put_off = False
-        if now + TICK_S < self._heard_at + SILENT_S:
-            self._look_at(self._heard_at + SILENT_S)
-            return
-        if self._is_asked and not self._retired:
-            self._retire(now - self._heard_at)
-        self._is_asked = True
-        # A ping that is never acknowledged also ends the connection, by the
-        # TCP user timeout.
-        self.send_frame(linking.Ping(0))
-        self._look_at(now + SILENT_S)
-
-    def _retire(self, silent_s) -> None:
-        """Start nothing new here; open exchanges go on and are told."""
-        self._retired = True
-        eliot.log_message(
-            'peer: connection retired',
-            silent_s=round(silent_s, 2),
-            exchanges=len(self._open),
-            buffered=self.buffered,
-            **self._vitals.describe(),
-        )
-        for one in list(self._open.values()):
-            if one.tell_silent is not None:
-                one.tell_silent()
-
-
-def fail_exchange(future: asyncio.Future) -> None:
-    """Tell an exchange that its reply will not come."""
-    if not future.done():
-        future.set_exception(
-            errors.PeerLost('the connection to a peer was lost')
-        )
+    """A request on a connection: its id there, its reply and its head."""
+
+    link: linkage.Link
+    number: int
+    reply: asyncio.Future
+    head: requests.Head
+
+
+async def finish_exchange(exchange: Exchange):
+    """Return the reply to a request; raises PeerLost without one."""
+    link, number = exchange.link, exchange.number
+    left_s = exchange.head.deadline - clock.read_boot_clock()
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            return await exchange.reply
+    except TimeoutError as error:
+        link.send_frame(linking.Cancel(number))
+        raise errors.PeerLost(
+            'no answer within the deadline; it may have run'
+        ) from error
+    except asyncio.CancelledError:
+        link.send_frame(linking.Cancel(number))
+        raise
+    finally:
+        link.end_exchange(number)
 
 
 class Links:
@@ -242,31 +121,49 @@
 
     async def _send(self, candidate, head, upload, tell_silent):
         body = await wholes.read_upload(upload)
-        if candidate.member.incarnation == self._incarnation:
+        member = candidate.member
+        if member.incarnation == self._incarnation:
             return await self.host_request(head, body)
         now = clock.read_boot_clock()
-        left_s = head.deadline - now
-        link = await self._connect(
-            candidate.member, len(body) >= BULK_BYTES, left_s
+        link = await self._connect(member, False, head.deadline - now)
+        exchange = Exchange(link, *link.start_exchange(tell_silent), head)
+        if len(body) < BULK_BYTES:
+            link.send_frame(
+                linkcodec.encode_work(exchange.number, head, body, now)
+            )
+            frame = await finish_exchange(exchange)
+        else:
+            frame = await self._send_large(member, exchange, body)
+        self._metrics.observe('hop_seconds', clock.read_boot_clock() - now)
+        return linkcodec.decode_reply(frame)
+
+    async def _send_large(self, member, exchange, body):
+        """Offer a body and send its parts when the member asks for them."""
+        link, number, head = exchange.link, exchange.number, exchange.head
+
+        async def connect():
+            left_s = head.deadline - clock.read_boot_clock()
+            return await self._connect(member, True, left_s)
+
+        sender = outgoing.BodySender(body, exchange.reply, connect)
+        link.offer_body(number, sender)
+        link.send_frame(
+            linkcodec.encode_offer(
+                number, head, len(body), clock.read_boot_clock()
+            )
         )
-        number, future = link.start_exchange(tell_silent)
-        link.send_frame(linkcodec.encode_work(number, head, body, now))
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
-                frame = await future
-        except TimeoutError as error:
+            return await finish_exchange(exchange)
+        except errors.PeerUnavailable as error:
+            if sender.sent_whole:
+                raise
+            # The member need not wait for the rest.
             link.send_frame(linking.Cancel(number))
-            raise errors.PeerLost(
-                'no answer within the deadline; it may have run'
+            raise errors.PeerUnavailable(
+                f'{member.name} did not get the whole body; nothing ran'
             ) from error
-        except asyncio.CancelledError:
-            link.send_frame(linking.Cancel(number))
-            raise
         finally:
-            link.end_exchange(number)
-        taken_s = clock.read_boot_clock() - now
-        self._metrics.observe('hop_seconds', taken_s)
-        return linkcodec.decode_reply(frame)
+            link.withdraw_body(number)
 
     async def ask(self, member, message):
         """Return a member's answer; raises PeerUnavailable without one."""
@@ -286,7 +183,7 @@
             link.end_exchange(number)
         return frame if isinstance(frame, linking.CopyReply) else frame.body
 
-    async def _connect(self, member, bulk, left_s) -> Link:
+    async def _connect(self, member, bulk, left_s) -> linkage.Link:
         key = member.incarnation, bulk
         link = self._links.get(key)
         if link is not None and link.is_usable:
@@ -306,14 +203,14 @@
                 f'no connection to {member.name}; nothing ran'
             ) from error
 
-    async def _open(self, member, key) -> Link:
+    async def _open(self, member, key) -> linkage.Link:
         loop = asyncio.get_running_loop()
         started, outcome = loop.time(), 'failed'
         try:
             async with asyncio.timeout(OPEN_S):
                 _, link = await connector.open_first(
                     lambda: loop.create_connection(
-                        lambda: Link(self._vitals),
+                        lambda: linkage.Link(self._vitals),
                         member.host,
                         member.peer_port,
                         local_addr=(self._host, 0),
@@ -334,7 +231,7 @@
         self._links[key] = link
         return link
 
-    def _replace(self, link: Link | None) -> None:
+    def _replace(self, link: linkage.Link | None) -> None:
         """Keep a connection that may still bring replies, to close it."""
         self._replaced = {one for one in self._replaced if one.is_open}
         if link is not None and link.is_open:
@@ -352,78 +249,3 @@
             link = self._links.pop(key)
             if link.transport is not None:
                 link.transport.close()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerPorts:
-    """What the accepting side needs.
-
-    ``host_request`` runs work for the target beside this node, ``answer``
-    returns the reply to a question, or None.
-    """
-
-    incarnation: int
-    secret: bytes
-    host_request: collections.abc.Callable
-    answer: collections.abc.Callable
-    traffic: object = None
-    connections: set = dataclasses.field(default_factory=set)
-
-
-class LinkServer(framing.FrameProtocol):
-    """The accepting side of one connection."""
-
-    def __init__(self, ports: ServerPorts):
-        super().__init__(ports.traffic)
-        self._ports = ports
-        self._known = False
-        self._running = {}
-
-    def connection_made(self, transport):
-        """Keep the connection, so that a stop can close it."""
-        super().connection_made(transport)
-        self._ports.connections.add(self)
-
-    def connection_lost(self, exc):
-        """Cancel work that nobody waits for, if it may be cancelled."""
-        self._ports.connections.discard(self)
-        for task, repeatable in self._running.values():
-            if repeatable:
-                task.cancel()
-
-    def take_frame(self, frame) -> None:
-        """Take one frame of the peer."""
-        match frame:
-            case linking.Hello():
-                self._known = framing.check_hello(
-                    self._ports.secret, frame, self._ports.incarnation
-                )
-                if not self._known:
-                    self.transport.abort()
-            case _ if not self._known:
-                self.transport.abort()
-            case linking.Ping():
-                self.send_frame(linking.Pong(0))
-            case linking.Cancel():
-                found = self._running.get(frame.id)
-                if found is not None:
-                    found[0].cancel()
-            case linking.Work():
-                self._start(frame.id, self._work(frame), frame.repeatable)
-            case _:
-                self._start(frame.id, self._answer(frame), True)
-
-    def _start(self, number, coroutine, repeatable) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._running[number] = task, repeatable
-        task.add_done_callback(lambda _: self._running.pop(number, None))
-
-    async def _work(self, frame) -> None:
-        head = linkcodec.decode_work(frame, clock.read_boot_clock())
-        reply = await self._ports.host_request(head, frame.body)
-        self.send_frame(await linkcodec.encode_reply(frame.id, reply))
-
-    async def _answer(self, frame) -> None:
-        reply = await self._ports.answer(frame)
-        if reply is not None:
-            self.send_frame(reply)
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -17,6 +17,7 @@
 from sesamejunction.model import owning
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock as clocks
+from sesamejunction.tasks import link as linkage
 from sesamejunction.tasks import links
 from sesamejunction.tasks import vitals
 from test import journeys
@@ -59,7 +60,7 @@
 
     async def exchange():
         _, link = await loop.create_connection(
-            lambda: links.Link(watch), '127.0.0.1', port
+            lambda: linkage.Link(watch), '127.0.0.1', port
         )
         number, reply = link.start_exchange(lambda: told.append(number))
         link.send_frame(linking.LoadQuestion(number))
@@ -125,7 +126,7 @@
     """A connection on a clock of the test: clock, link, frames sent."""
     clock, sent = Clock(), []
     monkeypatch.setattr(asyncio, 'get_running_loop', lambda: clock)
-    link = links.Link(
+    link = linkage.Link(
         vitals.Vitals(vitals.Traffic(), hostedmetrics.HostedMetrics())
     )
     link.transport = mock.Mock(is_closing=lambda: False)
