Count the time to connect from a request's deadline

A request that waited for a connection was sent with the time that was left before the wait, so its target worked, and refused, up to 0.5 s past the caller's deadline; a refusal that says "not run" then came too late and the caller was told "unknown".

The frame now carries the time that is left when it is sent. Measured by test_time_to_connect_is_counted: with a connection that takes 0.3 s and 1.0 s left, the target was given more than 670 ms before and is not now.

--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -129,7 +129,9 @@
         exchange = Exchange(link, *link.start_exchange(tell_silent), head)
         if len(body) < BULK_BYTES:
             link.send_frame(
-                linkcodec.encode_work(exchange.number, head, body, now)
+                linkcodec.encode_work(
+                    exchange.number, head, body, clock.read_boot_clock()
+                )
             )
             frame = await finish_exchange(exchange)
         else:
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -380,3 +380,34 @@
     assert within[0] <= taken_s <= within[1]
     await asyncio.sleep(0.01)
     assert len(asyncio.all_tasks()) == 1
+
+
+class Recorder(PromptPeer):
+    """Keeps the requests that it was sent."""
+
+    works = []
+
+    def take_frame(self, frame) -> None:
+        if isinstance(frame, linking.Work):
+            self.works.append(frame)
+        super().take_frame(frame)
+
+
+# Guards against a target that works and replies past the caller's deadline,
+# since the time that the connection took was not counted: seconds that it
+# took, and the most milliseconds that the target is given of 1.0 s.
+@pytest.mark.parametrize(('delay_s', 'left_ms'), [(0, 970), (0.3, 670)])
+async def test_time_to_connect_is_counted(monkeypatch, delay_s, left_ms):
+    loop = asyncio.get_running_loop()
+    connect = loop.create_connection
+
+    async def delay(*args, **options):
+        await asyncio.sleep(delay_s)
+        return await connect(*args, **options)
+
+    monkeypatch.setattr(loop, 'create_connection', delay)
+    monkeypatch.setattr(Recorder, 'works', [])
+    async with open_sender(Recorder) as (sender, member):
+        deadline = clocks.read_boot_clock() + 1.0
+        assert await route(sender, member, deadline) == 'answer'
+    assert [one.left_ms <= left_ms for one in Recorder.works] == [True]
