--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -1,11 +1,7 @@
 """Connections to other nodes, one or two a member, kept open."""
 
 import asyncio
-import collections.abc
 import dataclasses
-import itertools
-
-import eliot
 
 from sesamejunction.border import framing
 from sesamejunction.border import linkcodec
@@ -16,6 +12,7 @@
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
 from sesamejunction.tasks import connector
+from sesamejunction.tasks import link as linkage
 from sesamejunction.tasks import outgoing
 
 # A request waits so long for a connection; then the member counts as
@@ -26,15 +23,6 @@
 # be made if each request began anew. The operating system repeats a SYN after
 # 1 s.
 OPEN_S = 2.0
-# A connection that owes a reply and has been silent for this time is asked
-# for a sign of life. When none comes in the same time again, new exchanges use
-# another connection.
-SILENT_S = 0.4
-# A look that is later than this was delayed by this node's own loop. What the
-# peer sent meanwhile is read before the next look, after the same time.
-LATE_S = 0.05
-# Timers fire up to this much early.
-TICK_S = 0.002
 # Longest wait for the answer to a question of a task.
 ASK_S = 1.2
 # Bodies from this size are offered first and use a connection of their own,
@@ -42,165 +30,11 @@
 BULK_BYTES = 16 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Awaited:
-    """A reply that is due; ``tell_silent`` hears that the peer is silent."""
-
-    future: asyncio.Future
-    tell_silent: collections.abc.Callable[[], None] | None = None
-
-
-class Link(framing.FrameProtocol):
-    """The connecting side of one connection.
-
-    Silence ends no exchange: a late line or a busy peer may still bring the
-    reply. It retires the connection, so that new exchanges use another.
-    ``vitals`` says how this node itself fares.
-    """
-
-    def __init__(self, vitals):
-        super().__init__(vitals.traffic)
-        self._vitals = vitals
-        self._ids = itertools.count(1)
-        self._open = {}
-        self._heard_at = 0.0
-        self._watch = None
-        self._is_asked = False
-        self._is_put_off = False
-        self._retired = False
-        self._offered = {}
-
-    @property
-    def is_usable(self) -> bool:
-        """Return whether new exchanges may start."""
-        return not self._retired and self.is_open
-
-    @property
-    def is_open(self) -> bool:
-        """Return whether replies may still come."""
-        return self.transport is not None and not self.transport.is_closing()
-
-    @property
-    def buffered(self) -> int:
-        """Return the bytes that wait for the peer or the line."""
-        if not self.is_open:
-            return 0
-        return self.transport.get_write_buffer_size()
-
-    def start_exchange(self, tell_silent=None) -> tuple[int, asyncio.Future]:
-        """Return the id of a new exchange and the future of its reply.
-
-        ``tell_silent`` is called when the connection is retired meanwhile.
-        """
-        loop = asyncio.get_running_loop()
-        number = next(self._ids)
-        future = loop.create_future()
-        if not self._open:
-            self._note_heard()
-        self._open[number] = Awaited(future, tell_silent)
-        if self._watch is None:
-            self._look_at(self._heard_at + SILENT_S)
-        return number, future
-
-    def end_exchange(self, number: int) -> None:
-        """Forget an exchange; its reply will be dropped."""
-        self._open.pop(number, None)
-        if self._retired and not self._open and self.is_open:
-            self.transport.abort()
-
-    def offer_body(self, number: int, sender: outgoing.BodySender) -> None:
-        """Let a sender take the requests for parts of an exchange's body."""
-        self._offered[number] = sender
-
-    def withdraw_body(self, number: int) -> None:
-        """Send no more parts of a body."""
-        sender = self._offered.pop(number, None)
-        if sender is not None:
-            sender.close()
-
-    def data_received(self, data):
-        """Note a sign of life; part of a long frame is one as well."""
-        self._note_heard()
-        super().data_received(data)
-
-    def take_frame(self, frame) -> None:
-        """Give a reply to the exchange that waits for it."""
-        if isinstance(frame, linking.AskPart):
-            if frame.id in self._offered:
-                self._offered[frame.id].send_part(frame)
-            return
-        found = self._open.get(frame.id)
-        if found is not None and not found.future.done():
-            found.future.set_result(frame)
-
-    def connection_lost(self, exc):
-        """Fail all exchanges."""
-        if self._watch is not None:
-            self._watch.cancel()
-            self._watch = None
-        lost, self._open = self._open, {}
-        for one in lost.values():
-            fail_exchange(one.future)
-
-    def _note_heard(self) -> None:
-        self._heard_at = asyncio.get_running_loop().time()
-        self._is_asked = False
-
-    def _look_at(self, due: float) -> None:
-        """Set the connection's one timer; ``due`` is on the loop's clock."""
-        loop = asyncio.get_running_loop()
-        self._watch = loop.call_at(due, self._look, due)
-
-    def _look(self, due: float) -> None:
-        """Find out whether a connection that owes replies still works."""
-        self._watch = None
-        if not self._open or not self.is_open:
-            return
-        now = asyncio.get_running_loop().time()
-        if now - due >= LATE_S and not self._is_put_off:
-            self._is_put_off = True
-            self._look_at(now + LATE_S)
-            return
-        self._is_put_off = False
-        if now + TICK_S < self._heard_at + SILENT_S:
-            self._look_at(self._heard_at + SILENT_S)
-            return
-        if self._is_asked and not self._retired:
-            self._retire(now - self._heard_at)
-        self._is_asked = True
-        # A ping that is never acknowledged also ends the connection, by the
-        # TCP user timeout.
-        self.send_frame(linking.Ping(0))
-        self._look_at(now + SILENT_S)
-
-    def _retire(self, silent_s) -> None:
-        """Start nothing new here; open exchanges go on and are told."""
-        self._retired = True
-        eliot.log_message(
-            'peer: connection retired',
-            silent_s=round(silent_s, 2),
-            exchanges=len(self._open),
-            buffered=self.buffered,
-            **self._vitals.describe(),
-        )
-        for one in list(self._open.values()):
-            if one.tell_silent is not None:
-                one.tell_silent()
-
-
-def fail_exchange(future: asyncio.Future) -> None:
-    """Tell an exchange that its reply will not come."""
-    if not future.done():
-        future.set_exception(
-            errors.PeerLost('the connection to a peer was lost')
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Exchange:
     """A request on a connection: its id there, its reply and its head."""
 
-    link: Link
+    link: linkage.Link
     number: int
     reply: asyncio.Future
     head: requests.Head
@@ -295,7 +129,9 @@
         exchange = Exchange(link, *link.start_exchange(tell_silent), head)
         if len(body) < BULK_BYTES:
             link.send_frame(
-                linkcodec.encode_work(exchange.number, head, body, now)
+                linkcodec.encode_work(
+                    exchange.number, head, body, clock.read_boot_clock()
+                )
             )
             frame = await finish_exchange(exchange)
         else:
@@ -349,7 +185,7 @@
             link.end_exchange(number)
         return frame if isinstance(frame, linking.CopyReply) else frame.body
 
-    async def _connect(self, member, bulk, left_s) -> Link:
+    async def _connect(self, member, bulk, left_s) -> linkage.Link:
         key = member.incarnation, bulk
         link = self._links.get(key)
         if link is not None and link.is_usable:
@@ -369,14 +205,14 @@
                 f'no connection to {member.name}; nothing ran'
             ) from error
 
-    async def _open(self, member, key) -> Link:
+    async def _open(self, member, key) -> linkage.Link:
         loop = asyncio.get_running_loop()
         started, outcome = loop.time(), 'failed'
         try:
             async with asyncio.timeout(OPEN_S):
                 _, link = await connector.open_first(
                     lambda: loop.create_connection(
-                        lambda: Link(self._vitals),
+                        lambda: linkage.Link(self._vitals),
                         member.host,
                         member.peer_port,
                         local_addr=(self._host, 0),
@@ -397,7 +233,7 @@
         self._links[key] = link
         return link
 
-    def _replace(self, link: Link | None) -> None:
+    def _replace(self, link: linkage.Link | None) -> None:
         """Keep a connection that may still bring replies, to close it."""
         self._replaced = {one for one in self._replaced if one.is_open}
         if link is not None and link.is_open:
--- a/sesamejunction/tasks/outgoing.py
+++ b/sesamejunction/tasks/outgoing.py
@@ -60,7 +60,8 @@
         )
 
     def _note_silent(self) -> None:
-        # Nothing runs before the last part, so another member may be asked.
+        # Without the rest of the body no answer is due, and the request has
+        # surely not run, so it may be sent elsewhere.
         if not self.sent_whole:
             self._fail(errors.PeerUnavailable('the connection is silent'))
 
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -274,8 +274,8 @@
         key=None,
         token=KEY,
         method='GET',
-        body=None,
         deadline_ms=1000,
+        body=None,
     ):
         """Return status and body of one request through a machine."""
         self._count += 1
