Draw the waits of reads by the size of the fleet; renew doubtful copies

Cause: each node's reads wait 3 s on average whatever the size of the fleet, although all nodes together keep each copy current: 52 reads a second of which any four would do.

Change (decisions/polls): from 18 peers on the waits are drawn so that about four reads a second end in all, and the others wait for the longest time, which stays 5 s. Smaller fleets draw as before. A node whose copy was not confirmed for 2.5 s, or that is told that an append failed, begins a read that does not wait, also after any failed read. So a node that lost its peers in the middle of a wait, and a fleet that lost the store, know it sooner than before, and a node's copy is current as soon as the store answers rather than at the end of a wait.

--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -132,6 +132,11 @@
     end: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendFailed:
+    """Tells a follower that the log gave no usable answer to an append."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeCopy:
     """Gives a follower the copy of a peer, current as of ``as_of``."""
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -6,29 +6,19 @@
 import eliot
 
 from sesamejunction.border import logs
+from sesamejunction.decisions import polls
 from sesamejunction.decisions import silence
 from sesamejunction import errors
 from sesamejunction.model import registry
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
-# Longest wait of one read. Peers exchange positions, so with PEERS_NEEDED of
-# them the reads of all nodes together keep each copy current; a node alone
-# reads more often. A change ends the reads of all nodes at once, so each wait
-# is drawn at random: otherwise all copies would age together.
-WAIT_S = 5.0
-SHORTEST_PART = 0.2
-WAIT_ALONE_S = 1.5
-PEERS_NEEDED = 3
 # After a read that brought records the next one waits this long: when many
 # nodes register at once, each record would otherwise end the reads of all.
 GATHER_S = 0.1
 # How often a read is looked at while a peer is ahead, and otherwise.
 WATCH_S = 0.1
-IDLE_S = 10.0
-# Pauses between calls while the log does not answer.
-FIRST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 1.0
+IDLE_S = 0.5
 # Ends before the present one whose times are kept for tasks that have not
 # taken the newest copy yet; each takes one message.
 KEPT_ENDS = 256
@@ -90,6 +80,8 @@
         self._connected = None
         self._read_since = 0.0
         self._received_before = 0
+        self._wait_s = 0.0
+        self._is_doubted = False
         self._watch = silence.ReadWatch()
         self._lines = logs.LineLimit()
         self.view = PositionView()
@@ -105,11 +97,14 @@
                     self._advance(as_of)
                 elif copy.end == self._copy.end:
                     self._advance(as_of)
+            case registry.AppendFailed():
+                if self._connected and not self._watch.is_behind:
+                    self._renew_read()
             case registry.GetCopy():
                 return self._copy
 
     async def tick(self) -> None:
-        """Look for bytes of the read while a peer is ahead."""
+        """Look after the read that is under way."""
         self.tick_s = WATCH_S if self._watch.is_behind else IDLE_S
         if self._reading is None or self._reading.done():
             return
@@ -120,6 +115,8 @@
             self._drop_read(now)
         elif self._watch.is_doubtful(now):
             self._note_contact(False, 'nothing comes while a peer is ahead')
+        elif now - self.view.as_of > polls.RENEW_S:
+            self._renew_read()
 
     @property
     def is_connected(self) -> bool:
@@ -128,25 +125,25 @@
 
     async def follow(self) -> None:
         """Read the topic until cancelled."""
-        pause_s = FIRST_PAUSE_S
+        pause_s = polls.FIRST_PAUSE_S
         while True:
             self._reading = asyncio.ensure_future(self._read())
             try:
                 await asyncio.wait((self._reading,))
                 if self._reading.cancelled():
-                    # The connection has gone silent.
+                    # The connection may have gone silent.
                     await self._topic.reconnect()
                     continue
                 has_grown = self._reading.result()
                 self._watch.note_answer()
                 self._note_contact(True, '')
-                pause_s = FIRST_PAUSE_S
+                pause_s = polls.FIRST_PAUSE_S
                 if has_grown:
                     await asyncio.sleep(GATHER_S * random.uniform(0.5, 1.5))
             except errors.LogUnavailable as error:
                 self._note_contact(False, str(error))
                 await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(LONGEST_PAUSE_S, pause_s * 2)
+                pause_s = polls.find_next_pause(pause_s)
             finally:
                 self._reading.cancel()
 
@@ -160,13 +157,14 @@
             self._advance(sent_at)
             return True
         offset = self._copy.end
-        alone = self._count_peers() < PEERS_NEEDED
-        wait_s = WAIT_ALONE_S
-        if not alone:
-            wait_s = WAIT_S * random.uniform(SHORTEST_PART, 1.0)
+        wait_s = polls.choose_wait(
+            self._count_peers(), self._is_doubtful(sent_at), random.random
+        )
+        self._wait_s, self._is_doubted = wait_s, False
         try:
             batch = await self._topic.read(offset, wait_s)
         except errors.RetentionGap:
+            self._wait_s = 0.0
             copy = await self._topic.read_newest()
             if copy.end >= self._copy.end:
                 self._replace(copy)
@@ -216,6 +214,21 @@
             self.tick_s = WATCH_S
             self.tick_within(WATCH_S)
 
+    def _is_doubtful(self, now) -> bool:
+        """Return whether the next read must not wait."""
+        if not self._connected or self._is_doubted:
+            return True
+        # One that has just been answered at once is not repeated.
+        return now - self.view.as_of > polls.RENEW_S and self._wait_s > 0.0
+
+    def _renew_read(self) -> None:
+        """Begin a read that does not wait in place of one that does."""
+        received = self._topic.received - self._received_before
+        if self._reading is None or self._wait_s == 0.0 or received:
+            return
+        self._is_doubted = True
+        self._reading.cancel()
+
     def _drop_read(self, now) -> None:
         """Begin a new read, since a peer knows more than this one brought."""
         self._lines.log_message(
--- /dev/null
+++ b/test/storemodel.py
@@ -0,0 +1,506 @@
+"""Drives the followers of many nodes against a store, over simulated time.
+
+The tasks are the real ones; the store's connections, the datagrams and the
+clock are replaced. A run depends on its seed only.
+"""
+
+import asyncio
+import base64
+import collections
+import contextlib
+import dataclasses
+import json
+import random
+import selectors
+import types
+
+from sesamejunction import errors
+from sesamejunction.model import leasing
+from sesamejunction.model import packets
+from sesamejunction.model import ranges
+from sesamejunction.model import registry
+from sesamejunction.platform import config
+from sesamejunction.platform import store
+from sesamejunction.tasks import clock
+from sesamejunction.tasks import copies
+from sesamejunction.tasks import follower
+from sesamejunction.tasks import presence
+from sesamejunction.tasks import rangeplanner
+from sesamejunction.tasks import registrar
+from sesamejunction.tasks import targetlease
+from sesamejunction.ui import hostedparts
+
+SERVICE = 'lookup'
+CONFIG = {
+    'version': 1,
+    'routes': [],
+    'services': [{'name': SERVICE, 'sharded': True}],
+    'tenants': [{'name': 'one', 'apiKeys': ['k'], 'ratePerS': 5}],
+}
+# Time of a call that does not wait, and of a datagram.
+CALL_TAKES_S = 0.005
+DATAGRAM_TAKES_S = 0.002
+# Bytes a second of a node's line: 5 Mbit/s.
+LINE_BYTES = 625_000
+PIECE_S = 0.05
+HEARTBEAT_S = 1.0
+SAMPLE_S = 0.1
+
+
+class Selector(selectors.DefaultSelector):
+    """Lets simulated time pass instead of waiting."""
+
+    now = 1000.0
+
+    def select(self, timeout=None):
+        """Return at once; the time that was waited for has passed."""
+        if timeout is None:
+            raise RuntimeError('nothing is due any more; the model stands')
+        self.now += max(0.0, timeout)
+        return super().select(0)
+
+
+class Loop(asyncio.SelectorEventLoop):
+    """An event loop whose time is simulated."""
+
+    def __init__(self):
+        self._times = Selector()
+        super().__init__(self._times)
+
+    def time(self):
+        """Return simulated seconds."""
+        return self._times.now
+
+
+@dataclasses.dataclass
+class Line:
+    """One node's way to the store; ``state`` is a key of ANSWERS."""
+
+    state: str = 'open'
+    rate: float = LINE_BYTES
+
+
+class Log:
+    """The records of the store's topics, and counts of the calls."""
+
+    def __init__(self):
+        self.records = collections.defaultdict(list)
+        self.changed = collections.defaultdict(asyncio.Event)
+        self.calls = collections.Counter()
+        self.seconds = collections.Counter()
+        self.bytes = 0
+
+    def count(self, kind):
+        """Count a call by kind and second."""
+        self.calls[kind] += 1
+        self.seconds[int(clock.read_boot_clock())] += 1
+
+    def append(self, topic, entry):
+        """Append a record; reads that wait for one end."""
+        self.records[topic].append(entry)
+        self.changed[topic].set()
+        del self.changed[topic]
+        return len(self.records[topic]) - 1
+
+
+class Calls:
+    """Stands for platform.store.Store: the calls of one client."""
+
+    def __init__(self, log, line):
+        self.received = 0
+        self._log = log
+        self._line = line
+
+    async def reconnect(self):
+        """Do nothing; calls were cancelled before."""
+
+    async def call(self, method, path, limit_s, query, data=None):
+        """Return status and body."""
+        self._log.count(path)
+        match self._line.state:
+            case 'refused':
+                await asyncio.sleep(CALL_TAKES_S)
+                self._log.calls['refused'] += 1
+                return 503, b''
+            case 'silent':
+                await asyncio.sleep(store.CONNECT_S)
+                self._log.calls['lost'] += 1
+                raise errors.AppendUnknown('no answer; check the network')
+        ends = clock.read_boot_clock() + limit_s
+        await asyncio.sleep(CALL_TAKES_S)
+        status, body = await self._answer(path, query, data)
+        if self._line.state != 'open':
+            if self._line.state == 'silent':
+                await asyncio.sleep(max(0, ends - clock.read_boot_clock()))
+            self._log.calls['lost'] += 1
+            raise errors.AppendUnknown('no answer; check the network')
+        await self._bring(len(body))
+        return status, body
+
+    async def _bring(self, size):
+        self._log.bytes += size
+        while size > 0:
+            piece = min(size, self._line.rate * PIECE_S)
+            if piece > 1000:
+                await asyncio.sleep(piece / self._line.rate)
+            self.received += piece
+            size -= piece
+
+    async def _answer(self, path, query, data):
+        topic = query['topic']
+        records = self._log.records[topic]
+        match path:
+            case '/log-newest':
+                return 200, self._list_newest(records)
+            case '/log-append':
+                if query.get('asOf', len(records)) != len(records):
+                    self._log.calls['conflict'] += 1
+                    return 412, b'{}'
+                entry = decode_entry(data)
+                offset = self._log.append(topic, entry)
+                return 200, json.dumps({'offset': offset}).encode()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(query['waitMs'] / 1000):
+                while len(records) <= query['from']:
+                    if self._line.state == 'refused':
+                        return 503, b''
+                    await self._log.changed[topic].wait()
+        body = store.POSITIONS.pack(len(records), 0)
+        found = map(store.encode_entry, records[query['from'] :])
+        return 200, body + b''.join(found)
+
+    def _list_newest(self, records):
+        newest = {one.key: place for place, one in enumerate(records)}
+        items = [
+            {
+                'key': key,
+                'offset': place,
+                'value': base64.b64encode(records[place].value).decode(),
+            }
+            for key, place in newest.items()
+        ]
+        return json.dumps({'items': items, 'end': len(records)}).encode()
+
+
+def decode_entry(data):
+    """Return the record of an append."""
+    (entry,) = store.decode_records(store.POSITIONS.pack(0, 0) + data).entries
+    return entry
+
+
+class Node:
+    """The tasks of one node that have to do with the store."""
+
+    def __init__(self, fleet, number):
+        self.name = f'node-{number:03}'
+        self.incarnation = number + 1
+        self.line = Line()
+        self._fleet = fleet
+        self._running = []
+        self._topics = {
+            name: store.Topic(Calls(fleet.log, self.line), name)
+            for name in (store.OPERATOR_TOPIC, store.FLEET_TOPIC)
+        }
+        self.view = presence.PresenceView()
+        self._subscribers = []
+        self.followers = tuple(
+            follower.Follower(
+                one, self._subscribers, self.view.count_heard, self._drop
+            )
+            for one in self._topics.values()
+        )
+        appending = store.Topic(Calls(fleet.log, self.line), store.FLEET_TOPIC)
+        self._registrar = registrar.Registrar(appending)
+        self.lease = targetlease.TargetLease(
+            targetlease.Identity(
+                *(self.name, self.incarnation, 'a', '10.0.0.1', 1, SERVICE)
+            ),
+            *(self.followers[1].view, self._registrar, self, fleet),
+        )
+        self._planner = rangeplanner.RangePlanner(
+            *(self.name, self.incarnation, self.view, self._registrar, self)
+        )
+        fetchers = tuple(copies.Copies(one, self) for one in self.followers)
+        self.presence = presence.Presence(
+            *(self.incarnation, self, self.view, self.followers),
+            *((self._planner,), fetchers),
+        )
+        readers = (self.lease, self._planner, self.presence)
+        registering = registrar.Registry(
+            store.FLEET_TOPIC, config.OperatorRecords(), readers
+        )
+        self._subscribers.append(registering)
+        self._tasks = (
+            *(*self.followers, *fetchers, registering, self._registrar),
+            *readers,
+        )
+
+    def _drop(self, _labels):
+        self._fleet.log.calls['dropped'] += 1
+
+    def tell(self, message):
+        """Send a datagram: this object stands for the datagram task."""
+        self._fleet.send(self.incarnation, message)
+
+    async def ask(self, member, message):
+        """Ask a peer: this object stands for the links."""
+        await asyncio.sleep(DATAGRAM_TAKES_S)
+        return await self._fleet.find(member.incarnation).answer(message)
+
+    async def answer(self, message):
+        """Answer a peer's question."""
+        match message:
+            case registry.GetCopy(topic=topic):
+                place = list(self._topics).index(topic)
+                copy = await self.followers[place].ask(message)
+                as_of = self.followers[place].view.as_of
+                self._fleet.log.calls['copy from a peer'] += 1
+                return types.SimpleNamespace(
+                    body=copy, age=clock.read_boot_clock() - as_of
+                )
+            case leasing.AskRelease():
+                return await self.lease.ask(message)
+        raise errors.PeerUnavailable('not modelled; ask another')
+
+    async def run(self, begin_s):
+        """Start as HostedParts does, then run all tasks."""
+        await asyncio.sleep(begin_s)
+        start = types.SimpleNamespace(
+            _fleet_topic=self._topics[store.FLEET_TOPIC]
+        )
+        await hostedparts.HostedParts._find_secret(start)
+        async with asyncio.TaskGroup() as group:
+            for one in self._tasks:
+                group.create_task(one.run())
+            for one in self.followers:
+                group.create_task(one.follow())
+            group.create_task(self._beat())
+
+    async def _beat(self):
+        await asyncio.sleep(self._fleet.draw.uniform(0.0, HEARTBEAT_S))
+        life = ranges.Life(self.name, f't-{self.name}', 1)
+        for sequence in range(10**6):
+            beat = leasing.Heartbeat(
+                *(life, SERVICE, 'a', 8, sequence, False, 0.0)
+            )
+            await self.lease.ask(beat)
+            await asyncio.sleep(HEARTBEAT_S)
+
+
+class Fleet:
+    """Nodes with a common store."""
+
+    def __init__(self, count, seed):
+        self.draw = random.Random(seed)
+        self.log = Log()
+        self.write_config(1)
+        self.nodes = [Node(self, number) for number in range(count)]
+        self.ages = []
+        self.key_moves = self
+
+    def inc(self, _labels):
+        """Stand for a metric."""
+
+    def write_config(self, version, size=0):
+        """Write the declarations, with ``size`` more bytes."""
+        text = json.dumps({**CONFIG, 'version': version, 'pad': 'x' * size})
+        return self.log.append(
+            store.OPERATOR_TOPIC, registry.Entry('config', text.encode())
+        )
+
+    def find(self, incarnation):
+        """Return a node."""
+        return self.nodes[incarnation - 1]
+
+    def send(self, sender, message):
+        """Bring a datagram to its receiver."""
+        asyncio.get_running_loop().call_later(
+            DATAGRAM_TAKES_S,
+            self.find(message.incarnation).presence.tell,
+            packets.Received(sender, message.message, 0.0),
+        )
+
+    async def sample(self):
+        """Note the age of the copies until cancelled."""
+        while True:
+            await asyncio.sleep(SAMPLE_S)
+            now = clock.read_boot_clock()
+            self.ages += [
+                now - one.view.as_of
+                for node in self.nodes
+                for one in node.followers
+            ]
+
+    async def wait_until_read(self, place, end, nodes=None):
+        """Return the seconds until all have read a topic up to its end."""
+        started = clock.read_boot_clock()
+        while any(
+            one.followers[place].view.end < end for one in nodes or self.nodes
+        ):
+            await asyncio.sleep(0.005)
+        return clock.read_boot_clock() - started
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Phase:
+    """What the nodes did in a phase; ``ages`` and ``waits`` in seconds."""
+
+    name: str
+    calls: collections.Counter
+    busiest: int
+    bytes: int
+    ages: list[float]
+    waits: list[float]
+
+    @property
+    def total(self) -> int:
+        """Return the calls of the store."""
+        return sum(self.calls[one] for one in PATHS)
+
+
+PATHS = ('/log-read', '/log-newest', '/log-append')
+
+
+async def run_phase(fleet, name, steps):
+    """Run the steps and return what happened in them."""
+    fleet.log.calls.clear()
+    fleet.log.seconds.clear()
+    fleet.ages.clear()
+    before = fleet.log.bytes
+    waits = await steps(fleet)
+    return Phase(
+        *(name, fleet.log.calls.copy(), max(fleet.log.seconds.values())),
+        *(fleet.log.bytes - before, sorted(fleet.ages), sorted(waits or [])),
+    )
+
+
+async def stay_calm(fleet):
+    """Change nothing for half a minute."""
+    await asyncio.sleep(30.0)
+
+
+async def settle(fleet):
+    """Wait until former owners are dropped from the plan."""
+    await asyncio.sleep(15.0)
+
+
+async def start_all(fleet):
+    """Let all nodes start and serve for the first ten seconds."""
+    await asyncio.sleep(10.0)
+
+
+async def write_records(fleet):
+    """Write 20 single records of the fleet in uneven steps, in 20 s."""
+    ends = asyncio.get_running_loop().time() + 20.0
+    waits = []
+    for number in range(20):
+        await asyncio.sleep(fleet.draw.expovariate(2.0))
+        entry = registry.Entry('other', b'%d' % number)
+        end = fleet.log.append(store.FLEET_TOPIC, entry) + 1
+        waits.append(await fleet.wait_until_read(1, end))
+    await asyncio.sleep(max(0.0, ends - asyncio.get_running_loop().time()))
+    return waits
+
+
+def lose_store(state):
+    """Return steps: four outages of 6 s, and a configuration at each end."""
+
+    async def steps(fleet):
+        waits = []
+        for version in range(2, 6):
+            set_lines(fleet, state)
+            await asyncio.sleep(6.0)
+            set_lines(fleet, 'open')
+            end = fleet.write_config(version) + 1
+            waits.append(await fleet.wait_until_read(0, end))
+            await asyncio.sleep(6.0)
+        return waits
+
+    return steps
+
+
+def cut_off(state):
+    """Return steps: one node is cut off and configurations change."""
+
+    async def steps(fleet):
+        one = fleet.nodes[-1]
+        waits = []
+        for version in range(3, 8):
+            one.line.state = state
+            await asyncio.sleep(fleet.draw.uniform(0.0, 4.0))
+            end = fleet.write_config(version) + 1
+            waits.append(await fleet.wait_until_read(0, end, [one]))
+            one.line.state = 'open'
+            await asyncio.sleep(6.0)
+        return waits
+
+    return steps
+
+
+async def write_large(fleet):
+    """Write a configuration of 250,000 bytes; most lines are busy."""
+    for number, one in enumerate(fleet.nodes):
+        one.line.rate = LINE_BYTES / (1, 2, 4)[number % 3]
+    end = fleet.write_config(20, 250_000) + 1
+    try:
+        async with asyncio.timeout(20.0):
+            return [await fleet.wait_until_read(0, end)]
+    except TimeoutError:
+        return [float('inf')]
+
+
+def set_lines(fleet, state):
+    """Set the state of all lines; polls that wait see it."""
+    for one in fleet.nodes:
+        one.line.state = state
+    if state == 'refused':
+        for topic in list(fleet.log.changed):
+            fleet.log.changed.pop(topic).set()
+
+
+PHASES = {
+    'start': start_all,
+    'settle': settle,
+    'calm': stay_calm,
+    'records': write_records,
+    'refused': lose_store('refused'),
+    'silent': lose_store('silent'),
+    'one refused': cut_off('refused'),
+    'one silent': cut_off('silent'),
+    'large': write_large,
+}
+
+
+async def run_phases(count, seed, phases):
+    """Return a Phase for each of those named, in order."""
+    fleet = Fleet(count, seed)
+    running = [
+        asyncio.ensure_future(one.run(fleet.draw.uniform(0.0, 0.5)))
+        for one in fleet.nodes
+    ]
+    running.append(asyncio.ensure_future(fleet.sample()))
+    found = []
+    try:
+        for name in phases:
+            found.append(await run_phase(fleet, name, PHASES[name]))
+            for one in running:
+                if one.done():
+                    one.result()
+    finally:
+        for one in running:
+            one.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
+    return found
+
+
+def run_model(count, seed, phases=tuple(PHASES)):
+    """Return the phases of a run of ``count`` nodes, without waiting."""
+    loop = Loop()
+    former = clock.read_boot_clock
+    clock.read_boot_clock = loop.time
+    random.seed(seed)
+    try:
+        return loop.run_until_complete(run_phases(count, seed, phases))
+    finally:
+        clock.read_boot_clock = former
+        loop.close()
