Repeat failed appends and proposals slowly; doubt the log after one

Seen by reading: a node that waits to register appends again each 0.3 s while the store does not answer, 260 calls a second of 78 nodes; a planner whose proposal failed proposes again each 0.1 s; and a planner whose connection went silent stays the planner until its long poll ends, up to 6.5 s.

Change: the pause of a registration doubles up to 2.4 s and begins anew when one was taken. A failed proposal is made again when the topic has grown or after 0.3 s. The Registrar tells the follower of an append without an answer, which then reads without waiting, so that contact with the log is lost or confirmed at once. A conflict is an answer and tells nothing.

test_failed_proposals_are_repeated_slowly fails on the former planner (figures in the test: 5 proposals in a second at most); in 10 s a registration is appended at most 8 times, before 33 by its period.

--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -29,6 +29,9 @@
 # Loads are asked for this often; after a move the counts need some time.
 LOAD_S = 0.5
 MOVE_S = 1.2
+# A proposal that failed is made again when the topic has grown or after this
+# time: a record that came first has been read by then.
+RETRY_S = 0.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +69,7 @@
         self._seen = {}
         self._lives = frozenset()
         self._proposed_end = None
+        self._retry_at = float('-inf')
 
     async def handle(self, message):
         """Handle one message."""
@@ -86,17 +90,19 @@
         current = self._state
         if not current.members or not self._is_planner():
             return
-        if self._proposed_end == self._state.offset:
+        now = clock.read_boot_clock()
+        if self._proposed_end == self._state.offset and now < self._retry_at:
             # The proposal that was made from here is still to be read.
             return
-        now = clock.read_boot_clock()
         self._ask_loads(now)
         record = self._find_record(now)
         if record is None:
             return
         end = self._state.offset
         offset = await self._registrar.ask(registry.Propose(record, end))
-        self._proposed_end = end if offset is not None else None
+        self._proposed_end, self._retry_at = end, float('inf')
+        if offset is None:
+            self._retry_at = clock.read_boot_clock() + RETRY_S
 
     def _take_state(self, current) -> None:
         now = clock.read_boot_clock()
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -9,8 +9,11 @@
 from sesamejunction.model import registry
 from sesamejunction.tasks import actor
 
-# Pause before a record whose append failed is appended again.
+# Pause before a record whose append failed is appended again. It doubles with
+# each failure up to the longest, so that an outage does not bring calls of all
+# nodes that wait to register.
 RETRY_S = 0.3
+LONGEST_RETRY_S = 2.4
 
 
 class Registry(actor.Actor):
@@ -101,14 +104,18 @@
 
 
 class Registrar(actor.Actor):
-    """Appends records; owns this node's own registration."""
+    """Appends records; owns this node's own registration.
+
+    ``follower`` is told when the log does not take a record.
+    """
 
     name = 'registrar'
     tick_s = RETRY_S
 
-    def __init__(self, topic):
+    def __init__(self, topic, follower):
         super().__init__()
         self._topic = topic
+        self._follower = follower
         self._wanted = None
         self._written = None
 
@@ -135,7 +142,10 @@
             offset = await self._append(wanted, None)
         except errors.LogUnavailable as error:
             eliot.log_message('journal: not registered yet', reason=str(error))
+            self._follower.tell(registry.AppendFailed())
+            self.tick_s = min(LONGEST_RETRY_S, 2 * self.tick_s)
             return
+        self.tick_s = RETRY_S
         self._written = wanted
         eliot.log_message(
             'journal: registered',
@@ -154,6 +164,8 @@
                 end=end,
                 reason=str(error),
             )
+            if not isinstance(error, errors.AppendConflict):
+                self._follower.tell(registry.AppendFailed())
             return None
         eliot.log_message(
             'plan: appended',
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -90,7 +90,9 @@
         self._build_views()
         self._build_sharing(secret)
         self._build_target(
-            registrar.Registrar(store.Topic(write_store, store.FLEET_TOPIC))
+            registrar.Registrar(
+                store.Topic(write_store, store.FLEET_TOPIC), self._fleet
+            )
         )
         self._build_state()
         self._connections = await enter(
--- a/test/storemodel.py
+++ b/test/storemodel.py
@@ -210,7 +210,7 @@
             for one in self._topics.values()
         )
         appending = store.Topic(Calls(fleet.log, self.line), store.FLEET_TOPIC)
-        self._registrar = registrar.Registrar(appending)
+        self._registrar = registrar.Registrar(appending, self.followers[1])
         self.lease = targetlease.TargetLease(
             targetlease.Identity(
                 *(self.name, self.incarnation, 'a', '10.0.0.1', 1, SERVICE)
--- /dev/null
+++ b/test/test_appends.py
@@ -0,0 +1,137 @@
+"""Appends that fail are repeated slowly, and tell that the log is in doubt."""
+
+import asyncio
+import types
+
+import pytest
+
+from sesamejunction import errors
+from sesamejunction.model import journaling
+from sesamejunction.model import ranges
+from sesamejunction.model import registry
+from sesamejunction.model import state
+from sesamejunction.tasks import clock
+from sesamejunction.tasks import rangeplanner
+from sesamejunction.tasks import registrar
+from test import fakes
+from test import storemodel
+
+SPAN_S = 10.0
+RECORD = registry.MemberRecord(
+    *('a', 1, 'z', '10.0.0.1', 1, 's', 8, ranges.Life('a', 't', 1))
+)
+
+
+class Topic:
+    """Answers each append with the given error, or takes it."""
+
+    def __init__(self, error):
+        self.appends = 0
+        self._error = error
+
+    async def append(self, _entry, _end):
+        """Count and answer."""
+        self.appends += 1
+        if self._error is not None:
+            raise self._error
+        return 5
+
+
+def run_simulated(coroutine_of, monkeypatch):
+    """Run a coroutine over simulated time."""
+    loop = storemodel.Loop()
+    monkeypatch.setattr(clock, 'read_boot_clock', loop.time)
+    try:
+        return loop.run_until_complete(coroutine_of())
+    finally:
+        loop.close()
+
+
+async def send_to_registrar(topic, message):
+    """Return what the follower was told in the time after the message."""
+    told = fakes.Told()
+    one = registrar.Registrar(topic, told)
+    async with fakes.run_actors(one):
+        await one.ask(message)
+        await asyncio.sleep(SPAN_S)
+    return told.messages
+
+
+LOST = errors.AppendUnknown('no answer; check the network')
+CONFLICT = errors.AppendConflict('the topic has grown; read on')
+
+
+# Guards against 3 calls a second by each node that waits to register, and
+# against a planner that plans on with a connection that went silent.
+@pytest.mark.parametrize(
+    ('message', 'error', 'most', 'tells'),
+    [
+        pytest.param(registry.Register(RECORD), None, 1, False, id='taken'),
+        pytest.param(registry.Register(RECORD), LOST, 8, True, id='lost'),
+        pytest.param(
+            registry.Propose(RECORD, 3), LOST, 1, True, id='plan lost'
+        ),
+        pytest.param(
+            registry.Propose(RECORD, 3), CONFLICT, 1, False, id='conflict'
+        ),
+    ],
+)
+def test_failed_appends_are_repeated_slowly(
+    message, error, most, tells, monkeypatch
+):
+    topic = Topic(error)
+    messages = run_simulated(
+        lambda: send_to_registrar(topic, message), monkeypatch
+    )
+    assert 1 <= topic.appends <= most
+    assert (registry.AppendFailed() in messages) is tells
+
+
+class Registrar:
+    """Counts proposals and answers them."""
+
+    def __init__(self, offset):
+        self.asked = 0
+        self._offset = offset
+
+    async def ask(self, _proposal):
+        """Return the offset of the proposal, None when it failed."""
+        self.asked += 1
+        return self._offset
+
+
+def make_state(offset):
+    """Return a state with one member."""
+    member = types.SimpleNamespace(name='a', incarnation=1, life=None)
+    return state.State(offset=offset, members={1: member})
+
+
+async def propose(proposals, grows_at):
+    """Let a planner propose for a second; the topic grows in between."""
+    view = types.SimpleNamespace(silent=frozenset(), without_log=set())
+    one = rangeplanner.RangePlanner('a', 1, view, proposals, None)
+    one._find_record = lambda _now: RECORD
+    async with fakes.run_actors(one):
+        one.publish(journaling.StateChanged(make_state(3)))
+        await asyncio.sleep(grows_at)
+        one.publish(journaling.StateChanged(make_state(4)))
+        await asyncio.sleep(1.05 - grows_at)
+    return proposals.asked
+
+
+# Guards against ten proposals a second to a log that does not take them, and
+# against a planner that waits although the topic has grown.
+@pytest.mark.parametrize(
+    ('offset', 'grows_at', 'asked'),
+    [
+        pytest.param(4, 0.2, 2, id='each from its own state'),
+        pytest.param(None, 1.04, 5, id='fails'),
+        pytest.param(None, 0.02, 5, id='grows soon after the failure'),
+    ],
+)
+def test_failed_proposals_are_repeated_slowly(
+    offset, grows_at, asked, monkeypatch
+):
+    proposals = Registrar(offset)
+    found = run_simulated(lambda: propose(proposals, grows_at), monkeypatch)
+    assert found == asked
