Keep records of a read that go beyond a peer's copy

Seen by reading: when a peer's copy arrives while a read is under way, all that the read brings is thrown away, also records that the copy does not have, and is fetched once more.

Change: the records beyond the copy are folded; offsets tell which.

test_records_beyond_a_peers_copy_are_kept[has some of the records] fails on the former code (the read counts as bringing nothing) and passes now.

--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -169,28 +169,29 @@
             if copy.end >= self._copy.end:
                 self._replace(copy)
             return True
-        if self._copy.end != offset:
-            # A peer's copy came in the meantime.
-            return False
-        if batch.entries:
-            self._fold(batch)
+        # A peer's copy may have come in the meantime.
+        known = self._copy.end - offset
+        if len(batch.entries) > known:
+            self._fold(batch.entries[known:])
             self._advance(sent_at)
             return True
+        if known:
+            return False
         if batch.end == offset:
             # It was asked to wait, so nothing came in all that time.
             waited = clock.read_boot_clock() - sent_at
             self._advance(sent_at + min(wait_s, waited))
         return False
 
-    def _fold(self, batch) -> None:
+    def _fold(self, entries) -> None:
         items = dict(self._copy.items)
         offset = self._copy.end
-        for place, entry in enumerate(batch.entries):
+        for place, entry in enumerate(entries):
             if entry.value:
                 items[entry.key] = registry.Item(offset + place, entry.value)
             else:
                 items.pop(entry.key, None)
-        self._replace(registry.Copy(offset + len(batch.entries), items))
+        self._replace(registry.Copy(offset + len(entries), items))
 
     def _replace(self, copy) -> None:
         self._copy = copy
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -257,6 +257,49 @@
     assert copy == registry.Copy(3, {'b': registry.Item(2, b'2')})
 
 
+class OvertakenTopic(FakeTopic):
+    """A peer's copy arrives while a read is under way."""
+
+    follower = None
+    copy = None
+
+    async def read(self, offset, wait_s):
+        await self.follower.handle(registry.TakeCopy(self.copy, 0.0))
+        return await super().read(offset, wait_s)
+
+
+# Guards against a large record that is fetched again, since a peer's copy of
+# before it came during the read, and against records folded twice.
+@pytest.mark.parametrize(
+    ('peer_end', 'end', 'has_grown'),
+    [
+        pytest.param(1, 4, True, id='no newer'),
+        pytest.param(2, 4, True, id='has some of the records'),
+        pytest.param(4, 4, False, id='has all of them'),
+        pytest.param(5, 5, False, id='has more'),
+    ],
+)
+async def test_records_beyond_a_peers_copy_are_kept(peer_end, end, has_grown):
+    names = ('a', 'b', 'c', 'd', 'e')
+    entries = [registry.Entry(name, name.encode()) for name in names]
+    items = {
+        name: registry.Item(place, name.encode())
+        for place, name in enumerate(names)
+    }
+    topic = OvertakenTopic([registry.Batch(tuple(entries[1:4]), 4)])
+    topic.copy = registry.Copy(
+        peer_end, {one: items[one] for one in names[:peer_end]}
+    )
+    one = topic.follower = follower.Follower(
+        topic, (), lambda: 9, lambda _: None
+    )
+    await one._read()
+    one._copy = registry.Copy(1, {'a': items['a']})
+    assert await one._read() is has_grown
+    copy = await one.handle(registry.GetCopy())
+    assert copy == registry.Copy(end, {one: items[one] for one in names[:end]})
+
+
 class GrowingTopic(FakeTopic):
     """Gets a record every ``every_s``; reads wait for the next one."""
 
