--- a/test/test_idle.py
+++ b/test/test_idle.py
@@ -123,7 +123,7 @@
     'another member plans': (lambda: make_planner('b'), (), False),
     'this one plans': (lambda: make_planner('a'), (), True),
     'registered': (
-        lambda: registrar.Registrar(Topic(False)),
+        lambda: registrar.Registrar(Topic(False), fakes.Told()),
         (registry.Register(RECORD),),
         False,
     ),
@@ -160,7 +160,7 @@
 
 async def test_failed_registration_is_repeated_soon():
     # Guards against a node that waits for the long pause of a registered one.
-    made = registrar.Registrar(Topic(False))
+    made = registrar.Registrar(Topic(False), fakes.Told())
     async with fakes.run_actors(made):
         made.tell(registry.Register(RECORD))
         await asyncio.sleep(0.1)
