Process test: print what nodes logged when a planned stop cuts requests

Cause: test_planned_stop_of_a_busy_owner_cuts_nothing failed twice in 18 runs on a busy machine (load 17 to 25) and showed no more than a count. No check is changed; it prints the lines of peers, gates and callers too.

The second failure, with these lines: the test's process, which also holds the server, stood still for 1.0 s (attempt-27 was sent at 229.00 s, attempt-28 at 230.02 s, planned pause 0.05 s), so eight answers missed their deadline of 1 s at the node, which had waited for them ('node: stopped', cut 0).

--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -159,9 +159,9 @@
         await self.process.stdin.drain()
 
     def list_plans(self):
-        """Return what the node logged of owners, plans and silent peers."""
+        """Return what the node logged of owners, plans, peers and refusals."""
         found = map(json.loads, self.log.read_text().splitlines())
-        kinds = ('node: ', 'owner: ', 'plan: ', 'peer: silent')
+        kinds = ('node: ', 'owner: ', 'plan: ', 'peer: ', 'gate: ', 'caller: ')
         return [one for one in found if one['message_type'].startswith(kinds)]
 
     async def start_server(self, name):
@@ -484,6 +484,7 @@
         one, other = fleet.machines[0], fleet.machines[3]
         key = one.server.holds[0][0]
         one.server.work_s = 0.4
+        stopped_at = time.time()
         stop = asyncio.ensure_future(one.end(signal.SIGTERM))
         calls = []
         while not stop.done():
@@ -492,6 +493,7 @@
             )
             await asyncio.sleep(0.05)
         statuses = [status for status, _ in await asyncio.gather(*calls)]
+        fleet.print_plans(stopped_at)
         assert one.server.cut == 0
         assert 502 not in statuses
         assert statuses.count(200) >= len(statuses) / 4
