Run an attempt in a task only where others may be made beside it

Since silence leaves an attempt open, each attempt of a repeatable request had a task, also over HTTP and at the node's own target, which are never reported as silent. The transport now says whether it tells of silence.

--- a/bench/tail.py
+++ b/bench/tail.py
@@ -101,7 +101,11 @@
     def __init__(self, nodes):
         self._nodes = nodes
 
-    async def send(self, candidate, head, upload, tell_silent=None):
+    def tells_silence(self, _candidate):
+        """Return False; calls in one process are not silent."""
+        return False
+
+    async def send(self, candidate, head, upload, _tell_silent=None):
         """Serve at the candidate's node."""
         other = self._nodes[candidate.member.incarnation]
         return await serving.serve_request(
--- a/sesamejunction/border/forwardhttp.py
+++ b/sesamejunction/border/forwardhttp.py
@@ -125,14 +125,14 @@
         self._clock = clock
         self._read_wall_clock = read_wall_clock
 
+    def tells_silence(self, _candidate) -> bool:
+        """Return False; HTTP shows no sign of life before the answer."""
+        return False
+
     async def send(
-        self, candidate, head, upload, tell_silent=None
+        self, candidate, head, upload, _tell_silent=None
     ) -> requests.Answer | requests.Refusal:
-        """Forward to the candidate's node.
-
-        HTTP shows no sign of life before the answer, so ``tell_silent`` is
-        never called.
-        """
+        """Forward to the candidate's node."""
         left_s = max(0.001, head.deadline - self._clock())
         budget_ms = str(max(1, int(left_s * 1000)))
         time_ms = str(int(self._read_wall_clock() * 1000))
--- a/sesamejunction/commands/ports.py
+++ b/sesamejunction/commands/ports.py
@@ -31,6 +31,9 @@
         reply is due; the reply may still come.
         """
 
+    def tells_silence(self, candidate: requests.Candidate) -> bool:
+        """Return whether ``send`` to the candidate may call it."""
+
 
 class Target(typing.Protocol):
     """Sends work to the target beside this node."""
--- a/sesamejunction/commands/tries.py
+++ b/sesamejunction/commands/tries.py
@@ -68,7 +68,21 @@
         """Begin an attempt, which runs from the next ``wait`` on."""
         self._count += 1
         self._open[self._count] = None
-        self._next = head, self._attempt(self._count, candidate, head)
+        self._next = (
+            self._allows_others(candidate, head),
+            self._attempt(self._count, candidate, head),
+        )
+
+    def _allows_others(self, candidate, head) -> bool:
+        """Return whether other attempts may be open at the same time."""
+        if len(self._open) > 1:
+            return True
+        ports = self._ports
+        return (
+            head.repeatable
+            and candidate.member.incarnation != ports.incarnation
+            and ports.peers.tells_silence(candidate)
+        )
 
     async def wait(self, limit_s: float | None):
         """Return the next Result or Silent, or Late after a time.
@@ -78,10 +92,11 @@
         starting, self._next = self._next, None
         number = self._count
         if starting is not None:
-            head, attempt = starting
-            if limit_s is None and not head.repeatable and len(self._open) < 2:
+            shared, attempt = starting
+            if limit_s is None and not shared:
                 # Only this attempt can end, and nothing else is done
-                # meanwhile, so it needs no task of its own.
+                # meanwhile, so it needs no task of its own. A task takes
+                # about 20 us.
                 try:
                     return await attempt
                 finally:
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -119,6 +119,10 @@
             )
             raise
 
+    def tells_silence(self, candidate: requests.Candidate) -> bool:
+        """Return whether the member is reached over a connection."""
+        return candidate.member.incarnation != self._incarnation
+
     async def _send(self, candidate, head, upload, tell_silent):
         body = await wholes.read_upload(upload)
         member = candidate.member
--- a/test/journeys.py
+++ b/test/journeys.py
@@ -67,6 +67,9 @@
         self.sent = []
         self.cancelled = []
 
+    def tells_silence(self, _candidate):
+        return True
+
     async def send(self, where, head, upload, tell_silent=None):
         self.sent.append((where, head))
         if upload.streamed:
--- a/test/test_journey.py
+++ b/test/test_journey.py
@@ -280,6 +280,42 @@
     assert len(ports.peers.sent) == count
 
 
+# Guards against a task, which takes about 20 us, for each attempt that no
+# other can be made beside: whether the transport tells of silence, whether the
+# request is repeatable and whether there is a time of a second try; then
+# whether the attempt has a task of its own.
+@pytest.mark.parametrize(
+    ('tells', 'repeatable', 'second_s', 'own_task'),
+    [
+        (True, True, None, True),
+        (False, True, None, False),
+        (True, False, None, False),
+        (False, True, 0.1, True),
+    ],
+)
+async def test_attempt_has_a_task_when_needed(
+    tells, repeatable, second_s, own_task
+):
+    tasks = []
+
+    class Noting(journeys.Wire):
+        def tells_silence(self, _candidate):
+            return tells
+
+        async def send(self, where, head, upload, tell_silent=None):
+            tasks.append(asyncio.current_task())
+            return journeys.answer()
+
+    candidate = requests.Candidate(journeys.MEMBERS[2])
+    ports = journeys.make_ports(
+        chooser=journeys.Task(choosing.Chosen(candidate, second_s)),
+        peers=Noting(),
+    )
+    head = dataclasses.replace(journeys.HEAD, repeatable=repeatable)
+    assert await journeys.route(ports, head, keyed=False) == 'answer'
+    assert [one is not asyncio.current_task() for one in tasks] == [own_task]
+
+
 async def test_first_whole_answer_cancels_the_others():
     # Guards against runs for nobody: the attempt that was silent, or the one
     # that was made beside it, after an answer has come.
