--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -9,8 +9,11 @@
 from sesamejunction.model import registry
 from sesamejunction.tasks import actor
 
-# Pause before a record whose append failed is appended again.
+# Pause before a record whose append failed is appended again. It doubles with
+# each failure up to the longest, so that an outage does not bring calls of all
+# nodes that wait to register.
 RETRY_S = 0.3
+LONGEST_RETRY_S = 2.4
 # Ticks have nothing to do once the record is written.
 IDLE_S = 10.0
 
@@ -104,16 +107,21 @@
 
 
 class Registrar(actor.Actor):
-    """Appends records; owns this node's own registration."""
+    """Appends records; owns this node's own registration.
+
+    ``follower`` is told when the log does not take a record.
+    """
 
     name = 'registrar'
     tick_s = RETRY_S
 
-    def __init__(self, topic):
+    def __init__(self, topic, follower):
         super().__init__()
         self._topic = topic
+        self._follower = follower
         self._wanted = None
         self._written = None
+        self._pause_s = RETRY_S
 
     async def handle(self, message):
         """Handle one message."""
@@ -124,7 +132,7 @@
                     self._written = None
                 await self._write()
                 if self._wanted != self._written:
-                    self.tick_within(RETRY_S)
+                    self.tick_within(self._pause_s)
             case registry.Propose(record=record, end=end):
                 return await self._propose(record, end)
 
@@ -132,7 +140,7 @@
         """Append the registration again if its append has failed."""
         await self._write()
         done = self._wanted == self._written
-        self.tick_s = IDLE_S if done else RETRY_S
+        self.tick_s = IDLE_S if done else self._pause_s
 
     async def _write(self) -> None:
         wanted = self._wanted
@@ -142,7 +150,10 @@
             offset = await self._append(wanted, None)
         except errors.LogUnavailable as error:
             eliot.log_message('journal: not registered yet', reason=str(error))
+            self._follower.tell(registry.AppendFailed())
+            self._pause_s = min(LONGEST_RETRY_S, 2 * self._pause_s)
             return
+        self._pause_s = RETRY_S
         self._written = wanted
         eliot.log_message(
             'journal: registered',
@@ -161,6 +172,8 @@
                 end=end,
                 reason=str(error),
             )
+            if not isinstance(error, errors.AppendConflict):
+                self._follower.tell(registry.AppendFailed())
             return None
         eliot.log_message(
             'plan: appended',
