Drop a streaming connection with bytes nobody asked for

What callers saw: a copy of an earlier refusal on a kept connection was given to the next request. With the same attempt id it was believed, with another id the request was lost. So was one that met an unread close.

Cause: aiohttp queues an answer that comes on an idle connection and hands it to the next request. In the product the ids of attempts differ, so "not run" needed a request id that was used twice.

Change: bytes on an idle connection end it, and a connection with unread bytes or an unread close is not used.

Failed before: test_pools.py::test_copy_of_a_refusal_is_not_taken "while idle" and "unread at the send" with "assert (503, b'') == (200, b'whole answer')", and "close unread at the send" with "PeerLost: broke the connection; it may have run". "in the same packet" and test_part_of_a_copy_is_no_answer passed before and stay as guards.

--- a/sesamejunction/border/streamwire.py
+++ b/sesamejunction/border/streamwire.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import select
 
 import aiohttp
 from aiohttp import client_proto
@@ -28,6 +29,15 @@
         self._interim = 0
         self._received = 0
         self._rest = b''
+        self._unread = select.poll()
+
+    def connection_made(self, transport):
+        """Watch the socket for bytes that were not read yet."""
+        super().connection_made(transport)
+        self._unread.register(
+            transport.get_extra_info('socket').fileno(),
+            select.POLLIN | select.POLLRDHUP,
+        )
 
     def set_response_params(self, **params):
         """Begin an exchange."""
@@ -35,11 +45,27 @@
         self._interim = self._received = 0
         super().set_response_params(**params)
 
+    @property
+    def _is_idle(self) -> bool:
+        return self._answered and (
+            self._payload is None or self._payload.is_eof()
+        )
+
     @property
     def should_close(self) -> bool:
         """Return whether no other request may be sent."""
         return bool(self._rest) or super().should_close
 
+    def is_connected(self) -> bool:
+        """Return whether a request may be sent.
+
+        Bytes or a close that wait unread on an idle connection belong to no
+        request, and the next one must not meet them.
+        """
+        return super().is_connected() and not (
+            self._is_idle and (self._rest or self._unread.poll(0))
+        )
+
     def data_received(self, data):
         """Parse a part; the rest waits until others had their turn."""
         if not data:
@@ -76,6 +102,10 @@
                 self.transport.pause_reading()
 
     def _parse(self, piece) -> None:
+        """Parse; bytes without a request end the connection."""
+        if self._is_idle:
+            self._end()
+            return
         self._received += len(piece)
         super().data_received(piece)
         self._check_framing()
--- a/test/test_pools.py
+++ b/test/test_pools.py
@@ -121,6 +121,63 @@
         assert max(held) < HELD_S
 
 
+# What connection 0 writes to two requests, in between, and whether the loop
+# is kept from reading that; how many connections are made.
+COPIES = {
+    'none': ((REFUSAL, LENGTH), b'', False, 1),
+    'while idle': ((REFUSAL, LENGTH), REFUSAL, False, 2),
+    'unread at the send': ((REFUSAL, LENGTH), REFUSAL, True, 2),
+    'in the same packet': ((REFUSAL + REFUSAL, LENGTH), b'', False, 2),
+    'close unread at the send': ((REFUSAL,), b'close', True, 2),
+}
+
+
+# Guards against requests that are lost to, or refused by, a copy of an
+# earlier refusal.
+@pytest.mark.parametrize(
+    ('answers', 'later', 'blocked', 'count'), COPIES.values(), ids=COPIES
+)
+async def test_copy_of_a_refusal_is_not_taken(answers, later, blocked, count):
+    def serve(raw, one, number):
+        for answer in answers if number == 0 else ():
+            raw.read_head(one)
+            raw.send(one, answer)
+            if len(raw.heads) == 1 and later == b'close':
+                one.close()
+            elif len(raw.heads) == 1:
+                time.sleep(ARRIVE_S / 3)
+                raw.send(one, later)
+        raw.read_head(one)
+        raw.send(one, LENGTH)
+
+    async with (
+        call_server(serve) as (raw, call),
+        asyncio.timeout(wires.LIMIT_S),
+    ):
+        assert await call() == (503, b'')
+        if blocked:
+            time.sleep(ARRIVE_S)
+        elif later:
+            await asyncio.sleep(ARRIVE_S)
+        assert await call() == (200, BODY)
+        assert raw.count == count
+
+
+async def test_part_of_a_copy_is_no_answer():
+    """Guards against a refusal put together from two requests' bytes."""
+
+    def serve(raw, one, _number):
+        raw.read_head(one)
+        raw.send(one, REFUSAL + REFUSAL[:9])
+        raw.read_head(one)
+        raw.send(one, REFUSAL[9:])
+
+    async with call_server(serve) as (_, call), asyncio.timeout(wires.LIMIT_S):
+        assert await call() == (503, b'')
+        with pytest.raises(errors.PeerLost):
+            await call()
+
+
 async def test_large_answers_arrive_whole():
     """Guards against bytes lost or mixed between turns of the loop."""
     body = bytes(range(256)) * (1 << 13)
