Lose a streamed success that ends in its head or with a reset

What callers saw: a success without a length whose target stopped at the end of its head, or whose connection was reset in its body, arrived empty or short and as whole.

Cause: aiohttp takes any end of the connection, a reset included, for the end of a body without length.

Change: a reset fails the body. A success without length needs "Connection: close" and a body, as at the hosted node; an empty one is cut off for the caller. A body cut by an orderly close stays indistinguishable.

Failed before: test_pools.py::test_cut_answer_is_lost_at_every_byte "until close" by close and by reset with "assert {'lost', (200, b'')} == {'lost'}". The other answers, cut at every byte, passed before and stay as guards.

--- a/sesamejunction/border/pools.py
+++ b/sesamejunction/border/pools.py
@@ -28,6 +28,8 @@
 # Pools to addresses that were not used for this time are closed.
 POOL_IDLE_S = 120.0
 REQUEST_ID = 'SJ-Request-Id'
+# Successes that have no body and so no length.
+BODILESS = frozenset((204, 205))
 HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -183,10 +185,11 @@
             raise
         resources = contextlib.AsyncExitStack()
         resources.push_async_callback(pool.finish, reply)
-        if not is_own_reply(reply.headers, head):
+        if not is_own_reply(reply.headers, head) or is_cut_head(reply):
             await resources.aclose()
             raise errors.PeerLost(
-                f'{address} answered another request; connection closed'
+                f'{address} answered another request, or not whole; '
+                'connection closed'
             )
         pool.misses = 0
         return Reply(
@@ -253,6 +256,8 @@
                     raise errors.PeerLost('the answer does not end')
                 if chunk:
                     yield chunk
+            if left == MAX_ANSWER_BYTES and is_success_until_close(reply):
+                raise errors.PeerLost('the answer was cut before its body')
             if content.exception() is not None:
                 raise content.exception()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -296,6 +301,23 @@
     return fields.get(REQUEST_ID) == head.request_id
 
 
+def is_success_until_close(reply) -> bool:
+    """Return whether only a close ends the success, which may be a cut."""
+    return (
+        200 <= reply.status < 300
+        and reply.status not in BODILESS
+        and reply.method != 'HEAD'
+        and 'Content-Length' not in reply.headers
+        and 'Transfer-Encoding' not in reply.headers
+    )
+
+
+def is_cut_head(reply) -> bool:
+    """Return whether the head ends before a length or announced close."""
+    said = reply.headers.get('Connection', '').lower()
+    return is_success_until_close(reply) and 'close' not in said
+
+
 async def watch_upload(chunks, limit: asyncio.Timeout):
     """Yield the chunks; moves the limit so that a stalled upload is cut."""
     loop = asyncio.get_running_loop()
--- a/sesamejunction/border/streamwire.py
+++ b/sesamejunction/border/streamwire.py
@@ -133,11 +133,16 @@
         super().feed_data(item, size)
 
     def connection_lost(self, exc):
-        """Fail the exchange."""
+        """Fail the exchange; a reset never ends a body without length."""
         rest, self._rest = self._rest, b''
         if rest and exc is None:
             # An orderly close comes after what waited for its turn.
             self._parse(rest)
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError('the connection was reset')
+            )
         super().connection_lost(exc)
 
     def _end(self) -> None:
--- a/test/test_pools.py
+++ b/test/test_pools.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import socket
 import time
 
 import pytest
@@ -202,3 +203,42 @@
                         found.update(chunk)
                 assert found.digest() == digest
             assert raw.count == 1
+
+
+CUTS = {
+    'with length': LENGTH,
+    'chunked': CHUNKED + b'5\r\nwhole\r\n7;x=y\r\n answer\r\n0\r\n\r\n',
+    'after an interim answer': b'HTTP/1.1 100 Continue\r\n\r\n' + LENGTH,
+    'until close': HEAD + b'Connection: close\r\n\r\n' + BODY,
+}
+
+
+# Guards against a success with an empty or short body. A body without length
+# that is cut by an orderly close cannot be told from a whole one.
+@pytest.mark.parametrize('orderly', [True, False], ids=['close', 'reset'])
+@pytest.mark.parametrize('name', CUTS)
+async def test_cut_answer_is_lost_at_every_byte(name, orderly):
+    answer = CUTS[name]
+    sizes = range(
+        len(answer) - (len(BODY) - 1 if name == 'until close' else 0)
+    )
+    cuts = iter(sizes)
+
+    def serve(raw, one, _number):
+        one.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        raw.read_head(one)
+        raw.send(one, answer[: next(cuts)])
+        if orderly:
+            one.close()
+        else:
+            time.sleep(0.002)
+            wires.reset(one)
+
+    async with call_server(serve) as (_, call), asyncio.timeout(30):
+        found = []
+        for _ in sizes:
+            try:
+                found.append(await call())
+            except errors.PeerLost:
+                found.append('lost')
+        assert set(found) == {'lost'}
