Give strangers on the peer port no memory, and take replies only

What was seen: whoever connected to the peer port could have a node hold a frame of up to 128 MB before it had shown that it belongs to the fleet, and frames that are no replies were read without end by the connecting side.

Change: until the first frame is checked, a frame has 1 KB at most; a frame that is no reply ends the connection that waits for replies. Frames behind the one that ended a connection are not read.

Failed before: test_framing.py::test_flood_of_a_peer_is_ended "stranger, large frame" with "assert 1048580 <= 16384" and "work in place of a reply" with "assert False" for the closed transport. A copy of a reply and a reply cut at any byte were handled before; their tests stay as guards.

--- a/sesamejunction/border/framing.py
+++ b/sesamejunction/border/framing.py
@@ -13,6 +13,9 @@
 LENGTH = struct.Struct('>I')
 # A frame carries one body of a caller at most.
 MAX_FRAME_BYTES = 1 << 27
+# A first frame takes under 50 bytes; whoever has not shown that it belongs to
+# the fleet is given no memory for more.
+MAX_HELLO_BYTES = 1 << 10
 TAG_BYTES = 16
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -39,11 +42,13 @@
 class FrameProtocol(asyncio.Protocol):
     """Cuts a byte stream into frames; subclasses take them.
 
-    ``traffic`` counts the bytes, if given.
+    ``traffic`` counts the bytes, if given. ``frame_limit`` is the largest
+    size of the next frame in bytes.
     """
 
-    def __init__(self, traffic=None):
+    def __init__(self, traffic=None, frame_limit=MAX_FRAME_BYTES):
         self.transport = None
+        self.frame_limit = frame_limit
         self._traffic = traffic
         self._buffer = bytearray()
 
@@ -63,7 +68,7 @@
         place = 0
         while len(buffer) - place >= LENGTH.size:
             (size,) = LENGTH.unpack_from(buffer, place)
-            if size > MAX_FRAME_BYTES:
+            if size > self.frame_limit:
                 self.transport.abort()
                 return
             ends = place + LENGTH.size + size
@@ -78,6 +83,8 @@
                 return
             place = ends
             self.take_frame(frame)
+            if self.transport.is_closing():
+                return
         if place:
             del buffer[:place]
 
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -82,6 +82,10 @@
 
     def take_frame(self, frame) -> None:
         """Give a reply to the exchange that waits for it."""
+        if not isinstance(frame, linking.REPLIES):
+            # The accepting side sends replies only.
+            self.transport.abort()
+            return
         self._heard_at = asyncio.get_running_loop().time()
         future, _ = self._open.get(frame.id, (None, False))
         if future is not None and not future.done():
@@ -308,7 +312,7 @@
     """The accepting side of one connection."""
 
     def __init__(self, ports: ServerPorts):
-        super().__init__(ports.traffic)
+        super().__init__(ports.traffic, framing.MAX_HELLO_BYTES)
         self._ports = ports
         self._known = False
         self._running = {}
@@ -332,7 +336,9 @@
                 self._known = framing.check_hello(
                     self._ports.secret, frame, self._ports.incarnation
                 )
-                if not self._known:
+                if self._known:
+                    self.frame_limit = framing.MAX_FRAME_BYTES
+                else:
                     self.transport.abort()
             case _ if not self._known:
                 self.transport.abort()
