Take no "not run" from a plain target that answered with success

What callers saw: an answer with a success status and SJ-Not-Run was told as "not run", also for a request that may not be repeated.

Cause: the field was looked at without the status.

Change: such an answer is an unknown outcome, as at the hosted node.

Failed before: test_pools.py:: test_refusal_with_a_success_is_an_unknown_outcome with "DID NOT RAISE PeerLost".

--- a/sesamejunction/border/targethttp.py
+++ b/sesamejunction/border/targethttp.py
@@ -6,6 +6,7 @@
 
 from sesamejunction.border import forwardhttp
 from sesamejunction.border import pools
+from sesamejunction import errors
 from sesamejunction.model import requests
 
 NOT_RUN = 'SJ-Not-Run'
@@ -14,6 +15,7 @@
 START_BEFORE = 'SJ-Start-Before'
 END = 'SJ-End'
 SHED_STATUS = 503
+SUCCESSES = range(200, 300)
 CANCEL_S = 1.0
 # Cancels waiting to be sent; more are dropped, the deadline ends the work.
 MAX_CANCELS = 64
@@ -39,7 +41,11 @@
     async def send(
         self, grant, head, upload
     ) -> requests.Answer | requests.Refusal:
-        """Send under the grant; a shed becomes a Refusal."""
+        """Send under the grant; a shed becomes a Refusal.
+
+        Raises PeerLost when the target refuses and succeeds, since then it
+        may have run.
+        """
         left_s = max(0.001, head.deadline - self._clock())
         fields = encode_work(grant, head, str(int(left_s * 1000)))
         reply = await self._http.send(
@@ -53,6 +59,8 @@
         if reply.fields.get(NOT_RUN) != '1':
             return reply.pass_on()
         await reply.resources.aclose()
+        if reply.status in SUCCESSES:
+            raise errors.TargetSilent('the target refused and answered')
         if reply.status == SHED_STATUS:
             return requests.Refusal(
                 requests.Code.SHED,
--- a/test/test_pools.py
+++ b/test/test_pools.py
@@ -10,8 +10,10 @@
 import uvloop
 
 from sesamejunction.border import pools
+from sesamejunction.border import targethttp
 from sesamejunction.commands import uploads
 from sesamejunction import errors
+from sesamejunction.model import requests
 from test import wires
 
 HEAD = b'HTTP/1.1 200 OK\r\nSJ-Request-Id: r1\r\n'
@@ -242,3 +244,23 @@
             except errors.PeerLost:
                 found.append('lost')
         assert set(found) == {'lost'}
+
+
+# Guards against "not run" for a request whose target says that it succeeded.
+async def test_refusal_with_a_success_is_an_unknown_outcome():
+    def serve(raw, one, _number):
+        raw.read_head(one)
+        raw.send(one, REFUSAL.replace(b'503', b'200'))
+        raw.read_head(one)
+
+    with wires.RawServer(serve) as raw:
+        async with (
+            pools.HttpCaller() as http,
+            targethttp.TargetTransport(
+                http, '127.0.0.1', time.monotonic
+            ) as to,
+        ):
+            to.port = raw.port
+            grant = requests.Grant(time.monotonic() + 9)
+            with pytest.raises(errors.PeerLost):
+                await to.send(grant, wires.make_head(None), uploads.EMPTY)
