--- a/test/test_cuts.py
+++ b/test/test_cuts.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+import uvloop
 
 from sesamejunction.commands import wholes
 from sesamejunction import errors
@@ -38,6 +39,12 @@
 }  # fmt: skip
 
 
+@pytest.fixture(params=[uvloop.EventLoopPolicy], ids=['uvloop'])
+def event_loop_policy(request):
+    """Run under the loop of production, which reads in its own way."""
+    return request.param()
+
+
 def shut(one):
     """Close as a process does that ends in order."""
     one.close()
--- a/test/test_repeats.py
+++ b/test/test_repeats.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+import uvloop
 
 from sesamejunction.border import httpwire
 from sesamejunction.commands import wholes
@@ -60,6 +61,15 @@
 }  # fmt: skip
 
 
+@pytest.fixture(
+    params=[asyncio.DefaultEventLoopPolicy, uvloop.EventLoopPolicy],
+    ids=['asyncio', 'uvloop'],
+)
+def event_loop_policy(request):
+    """Run under the loop of production too; both read in their own way."""
+    return request.param()
+
+
 def serve_case(case):
     def serve(raw, one, number):
         for answer in case.answers if number == 0 else ():
