Read 16 KB at once from a target

What was seen: the median of other requests was 12.1 ms beside a flood of 8-byte chunks (bound 12 ms) in a run of all unit tests on a busy machine.

Cause: 64 KB of such chunks take 2 to 3 ms to parse (estimate), and a request needs several turns of the loop.

Change: reads are 16 KB, so the loop is held for a quarter of that time.

Failed before, once: test_floods.py::test_answer_without_end_is_given_up[ uvloop-chunks of few bytes] with "assert 0.0121 < 0.012".

--- a/sesamejunction/border/httpwire.py
+++ b/sesamejunction/border/httpwire.py
@@ -13,7 +13,7 @@
 CONNECT_S = 0.3
 # Read at once. After a full read other connections have their turn, since a
 # flood would otherwise be parsed for as long as it comes.
-READ_BYTES = 1 << 16
+READ_BYTES = 1 << 14
 # A connection on which an id was refused does not carry it again, since a copy
 # of the refusal could not be told from a new one. A connection is closed
 # after so many refusals, so that none is forgotten; at 1,000 refusals a
