--- a/sesamejunction/border/pools.py
+++ b/sesamejunction/border/pools.py
@@ -9,6 +9,7 @@
 import aiohttp
 import yarl
 
+from sesamejunction.border import streamwire
 from sesamejunction.commands import uploads
 from sesamejunction import errors
 from sesamejunction.model import requests
@@ -19,11 +20,16 @@
 # A connection takes about 1 ms; this bounds the wait for a free or new one.
 CONNECT_S = 0.5
 IDLE_S = 15.0
+# Body of one answer. It is streamed, so this bounds time and not memory: four
+# times the largest body that a node takes from callers by default.
+MAX_ANSWER_BYTES = 1 << 32
 # Misses in a row after which idle connections are taken for silent.
 STALE_MISSES = 2
 # Pools to addresses that were not used for this time are closed.
 POOL_IDLE_S = 120.0
 REQUEST_ID = 'SJ-Request-Id'
+# Successes that have no body and so no length.
+BODILESS = frozenset((204, 205))
 HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -110,7 +116,7 @@
 
     def __init__(self, now: float):
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=streamwire.Connector(
                 limit=CONNECTIONS,
                 keepalive_timeout=IDLE_S,
                 socket_factory=make_socket,
@@ -179,10 +185,11 @@
             raise
         resources = contextlib.AsyncExitStack()
         resources.push_async_callback(pool.finish, reply)
-        if not is_own_reply(reply.headers, head):
+        if not is_own_reply(reply.headers, head) or is_cut_head(reply):
             await resources.aclose()
             raise errors.PeerLost(
-                f'{address} answered another request; connection closed'
+                f'{address} answered another request, or not whole; '
+                'connection closed'
             )
         pool.misses = 0
         return Reply(
@@ -237,15 +244,20 @@
 
     async def _read_chunks(self, pool, reply):
         """Yield the body; raises PeerLost after 1 s without a byte."""
-        content = reply.content
+        content, left = reply.content, MAX_ANSWER_BYTES
         try:
             while not content.at_eof():
                 chunk = content.read_nowait()
                 if not chunk:
                     async with asyncio.timeout(timing.PROGRESS_S):
                         chunk = await content.readany()
+                left -= len(chunk)
+                if left < 0:
+                    raise errors.PeerLost('the answer does not end')
                 if chunk:
                     yield chunk
+            if left == MAX_ANSWER_BYTES and is_success_until_close(reply):
+                raise errors.PeerLost('the answer was cut before its body')
             if content.exception() is not None:
                 raise content.exception()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -289,6 +301,23 @@
     return fields.get(REQUEST_ID) == head.request_id
 
 
+def is_success_until_close(reply) -> bool:
+    """Return whether only a close ends the success, which may be a cut."""
+    return (
+        200 <= reply.status < 300
+        and reply.status not in BODILESS
+        and reply.method != 'HEAD'
+        and 'Content-Length' not in reply.headers
+        and 'Transfer-Encoding' not in reply.headers
+    )
+
+
+def is_cut_head(reply) -> bool:
+    """Return whether the head ends before a length or announced close."""
+    said = reply.headers.get('Connection', '').lower()
+    return is_success_until_close(reply) and 'close' not in said
+
+
 async def watch_upload(chunks, limit: asyncio.Timeout):
     """Yield the chunks; moves the limit so that a stalled upload is cut."""
     loop = asyncio.get_running_loop()
--- a/sesamejunction/tasks/link.py
+++ b/sesamejunction/tasks/link.py
@@ -110,6 +110,10 @@
             if frame.id in self._offered:
                 self._offered[frame.id].send_part(frame)
             return
+        if not isinstance(frame, linking.REPLIES):
+            # The accepting side sends replies only.
+            self.transport.abort()
+            return
         found = self._open.get(frame.id)
         if found is not None and not found.future.done():
             found.future.set_result(frame)
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -35,7 +35,7 @@
     """The accepting side of one connection."""
 
     def __init__(self, ports: ServerPorts):
-        super().__init__(ports.traffic)
+        super().__init__(ports.traffic, framing.MAX_HELLO_BYTES)
         self._ports = ports
         self._known = False
         self._sender = 0
@@ -62,7 +62,9 @@
                     self._ports.secret, frame, self._ports.incarnation
                 )
                 self._sender = frame.sender
-                if not self._known:
+                if self._known:
+                    self.frame_limit = framing.MAX_FRAME_BYTES
+                else:
                     self.transport.abort()
             case _ if not self._known:
                 self.transport.abort()
--- a/test/test_cuts.py
+++ b/test/test_cuts.py
@@ -5,6 +5,7 @@
 import time
 
 import pytest
+import uvloop
 
 from sesamejunction.commands import wholes
 from sesamejunction import errors
@@ -38,6 +39,12 @@
 }  # fmt: skip
 
 
+@pytest.fixture(params=[uvloop.EventLoopPolicy], ids=['uvloop'])
+def event_loop_policy(request):
+    """Run under the loop of production, which reads in its own way."""
+    return request.param()
+
+
 def shut(one):
     """Close as a process does that ends in order."""
     one.close()
@@ -68,7 +75,7 @@
         port = self.raw.build_port()
         head = wires.make_head(method='POST', repeatable=False)
         try:
-            async with asyncio.timeout(2):
+            async with asyncio.timeout(wires.LIMIT_S):
                 reply = await port.send(head, b'')
         except errors.PeerLost:
             return 'lost'
@@ -126,7 +133,7 @@
 
     with wires.RawServer(serve) as raw:
         port = raw.build_port()
-        async with asyncio.timeout(5):
+        async with asyncio.timeout(wires.LIMIT_S):
             for _ in range(1, len(answer)):
                 reply = await port.send(wires.make_head(), b'')
                 assert await wholes.read_answer(reply) == BODY
