Do not renew a read while a peer is ahead

Seen by reading: a node whose copy is older than 2.5 s and whose peer is ahead broke off the read that was to bring the record, before its first byte, and began another.

Cause: the rule for doubtful copies looked at bytes only, not at whether the answer must be on its way already.

test_doubtful_copy_is_read_again_at_once[its answer may be on the way] failed before (one reconnect) and passes now.

--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -98,7 +98,7 @@
                 elif copy.end == self._copy.end:
                     self._advance(as_of)
             case registry.AppendFailed():
-                if self._connected and not self._watch.is_behind:
+                if self._connected:
                     self._renew_read()
             case registry.GetCopy():
                 return self._copy
@@ -223,9 +223,15 @@
         return now - self.view.as_of > polls.RENEW_S and self._wait_s > 0.0
 
     def _renew_read(self) -> None:
-        """Begin a read that does not wait in place of one that does."""
+        """Begin a read that does not wait in place of one that does.
+
+        One whose answer has begun or, since a peer is ahead, must be on its
+        way goes on.
+        """
         received = self._topic.received - self._received_before
-        if self._reading is None or self._wait_s == 0.0 or received:
+        if self._watch.is_behind or self._wait_s == 0.0 or received:
+            return
+        if self._reading is None or self._reading.done():
             return
         self._is_doubted = True
         self._reading.cancel()
--- a/test/test_polls.py
+++ b/test/test_polls.py
@@ -88,6 +88,10 @@
         pytest.param(0.0, (), False, id='current'),
         pytest.param(3.0, (), True, id='no word from anyone'),
         pytest.param(0.0, (registry.AppendFailed(),), True, id='not appended'),
+        pytest.param(
+            *(3.0, (registry.PeerPosition(7, 2, 0.0),), False),
+            id='its answer may be on the way',
+        ),
     ],
 )
 async def test_doubtful_copy_is_read_again_at_once(age_s, messages, renewed):
