Echoes tell of all members, one byte each

An echo had room for the names and ages of 60 members. The echoes were also most of the control traffic. Members that know the same members (a digest in the probe) now get all ages without names in a byte each, up to 600; others get the pairs as before, as do nodes of earlier versions. Silence is judged 0.1 s after the probes instead of just before the next ones, when all ages are half a second higher. It still means 1.5 s without news.

--- a/bench/hosted.py
+++ b/bench/hosted.py
@@ -21,6 +21,7 @@
 from sesamejunction.border import logs
 from sesamejunction.border import packets as codec
 from sesamejunction.border import registrycodec
+from sesamejunction.decisions import hearsay
 from sesamejunction.model import journaling
 from sesamejunction.model import messages
 from sesamejunction.model import packets
@@ -127,11 +128,11 @@
         """Handle a packet of the node at once."""
         asyncio.ensure_future(self.presence.handle(received))
 
-    def probe(self, node: int) -> None:
+    def probe(self, node: int, members: int) -> None:
         """Send one probe to the measured node."""
         now = clock.read_boot_clock()
         topics = (messages.TopicAge(0, 0.1),) * 2
-        probe = messages.Probe(self.incarnation, now, topics)
+        probe = messages.Probe(self.incarnation, now, topics, members)
         self.socket.tell(packets.SendTo(node, probe))
 
 
@@ -245,6 +246,7 @@
         for one in self.peers:
             await one.socket.handle(current)
             await one.presence.handle(current)
+        digest = hearsay.find_digest(sorted(members))
         url = f'http://{HOST}:{self._ports["ready"]}/readiness'
         while True:
             now = clock.read_boot_clock()
@@ -252,7 +254,7 @@
                 self._view.heard[one] = now - random.uniform(0.0, 0.5)
             count = min(PROBED, len(self.peers))
             for one in random.sample(self.peers, count):
-                one.probe(member.incarnation)
+                one.probe(member.incarnation, digest)
             async with self._session.get(url) as reply:
                 await reply.read()
             await asyncio.sleep(presence.PROBE_S)
--- a/sesamejunction/border/packets.py
+++ b/sesamejunction/border/packets.py
@@ -100,15 +100,22 @@
 
     sent_at: float
     topics: tuple[tuple[int, int], ...]
+    members: int = 0
 
 
 class WireEcho(Wire, tag=10):
-    """Body of Echo; ``heard`` are pairs of incarnation and age."""
+    """Body of Echo; ``heard`` are pairs of incarnation and age.
+
+    Nodes of earlier versions ignore the last three fields.
+    """
 
     sent_at: float
     topics: tuple[tuple[int, int], ...]
     heard: tuple[tuple[int, int], ...]
     has_log: bool = True
+    members: int = 0
+    first: int = 0
+    ages: bytes = b''
 
 
 BODIES = (
@@ -258,14 +265,18 @@
                 ),
             )
         case messages.Probe(sent_at=sent_at, topics=topics):
-            return WireProbe(sent_at, encode_topics(topics))
+            return WireProbe(sent_at, encode_topics(topics), message.members)
         case messages.Echo(sent_at=sent_at, topics=topics, heard=heard):
-            return WireEcho(
+            fields = (
                 sent_at,
                 encode_topics(topics),
                 tuple((one, encode_age(age)) for one, age in heard),
                 message.has_log,
             )
+            packed = message.packed
+            if packed is None:
+                return WireEcho(*fields)
+            return WireEcho(*fields, packed.members, packed.first, packed.ages)
 
 
 def encode_topics(topics) -> tuple[tuple[int, int], ...]:
@@ -315,13 +326,19 @@
                 sequence,
                 tuple(messages.ShareGrant(*one) for one in grants),
             )
-        case WireProbe(sent_at, topics):
-            return messages.Probe(sender, sent_at, decode_topics(topics))
-        case WireEcho(sent_at, topics, heard, has_log):
+        case WireProbe(sent_at, topics, members):
+            return messages.Probe(
+                sender, sent_at, decode_topics(topics), members
+            )
+        case WireEcho(sent_at, topics, heard, has_log, members):
+            packed = None
+            if members:
+                packed = messages.PackedAges(members, wire.first, wire.ages)
             return messages.Echo(
                 sender,
                 sent_at,
                 decode_topics(topics),
                 tuple((one, decode_age(age_ms)) for one, age_ms in heard),
                 has_log,
+                packed,
             )
--- a/sesamejunction/model/messages.py
+++ b/sesamejunction/model/messages.py
@@ -133,11 +133,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
-    """Asks a member for its Echo; ``sent_at`` comes back in it."""
+    """Asks a member for its Echo; ``sent_at`` comes back in it.
+
+    ``members`` is the digest of the members that the prober knows.
+    """
 
     prober: int
     sent_at: float
     topics: tuple[TopicAge, ...]
+    members: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PackedAges:
+    """How long ago members were heard of, packed as in decisions/hearsay.
+
+    ``members`` is the digest of the members; the ages begin with the one at
+    place ``first``.
+    """
+
+    members: int
+    first: int
+    ages: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -145,8 +162,9 @@
     """Answers a Probe.
 
     ``topics`` are in the order of the fleet's agreement: declarations, then
-    the fleet's own. ``heard`` tells how long ago the member heard of others,
-    ``has_log`` whether the log answers it.
+    the fleet's own. ``heard`` tells how long ago the member heard of others;
+    ``packed`` does so instead where both know the same members. ``has_log``
+    tells whether the log answers it.
     """
 
     member: int
@@ -154,6 +172,7 @@
     topics: tuple[TopicAge, ...]
     heard: tuple[tuple[int, float], ...] = ()
     has_log: bool = True
+    packed: PackedAges | None = None
 
 
 Message = (
--- a/sesamejunction/tasks/presence.py
+++ b/sesamejunction/tasks/presence.py
@@ -4,6 +4,7 @@
 
 import eliot
 
+from sesamejunction.decisions import hearsay
 from sesamejunction.model import journaling
 from sesamejunction.model import messages
 from sesamejunction.model import owning
@@ -14,9 +15,14 @@
 from sesamejunction.tasks import clock
 
 PROBE_S = 0.5
+# Silence is judged when the echoes of a round have come: just before the next
+# round all ages are half a second higher, and of 150 members one would seem
+# silent every few seconds.
+ECHO_S = 0.1
 # Members probed in each round; others are heard of through these.
 FAN_OUT = 6
-# Ages carried by one echo, to keep it within a datagram.
+# Ages with names carried by one echo, to keep it within a datagram. They are
+# sent to members that know other members, as while nodes start.
 MOST_HEARD = 60
 # A member that nobody has heard of for this time counts as silent: three
 # rounds of probes, so that a lost datagram or a short pause does not count.
@@ -25,6 +31,7 @@
 FIRST_ECHO_S = 0.6
 # Longer ages tell nothing new.
 OLDEST_HEARD_S = 10.0
+NEVER = float('-inf')
 
 
 class PresenceView:
@@ -50,7 +57,7 @@
     """
 
     name = 'presence'
-    tick_s = PROBE_S
+    tick_s = ECHO_S
 
     def __init__(
         self, incarnation, datagrams, view, followers, subscribers, fetchers
@@ -65,6 +72,9 @@
         self._state = state.State()
         self._started_at = clock.read_boot_clock()
         self._joined = {}
+        self._awaits_echoes = False
+        self._order = ()
+        self._digest = 0
 
     async def handle(self, message):
         """Handle one message."""
@@ -81,21 +91,36 @@
                     self._take_echo(echo)
 
     async def tick(self) -> None:
-        """Probe some members and publish the silent ones."""
+        """Probe some members, and later publish the silent ones."""
         now = clock.read_boot_clock()
+        self._awaits_echoes = not self._awaits_echoes
+        if self._awaits_echoes:
+            self._send_probes(now)
+            self.tick_s = ECHO_S
+        else:
+            self._publish_silent(now)
+            self.tick_s = PROBE_S - ECHO_S
+
+    def _send_probes(self, now) -> None:
         self._note_log(self._incarnation, self._has_log)
-        peers = [
-            one for one in self._state.members if one != self._incarnation
-        ]
-        probe = messages.Probe(self._incarnation, now, self._list_topics(now))
+        peers = self._list_peers()
+        probe = messages.Probe(
+            self._incarnation, now, self._list_topics(now), self._digest
+        )
         for one in random.sample(peers, min(FAN_OUT, len(peers))):
             self._datagrams.tell(packets.SendTo(one, probe))
-        self._publish_silent(now, peers)
+
+    def _list_peers(self) -> list[int]:
+        return [one for one in self._state.members if one != self._incarnation]
 
     def _take_state(self, current) -> None:
         now = clock.read_boot_clock()
-        self._state = current
+        before, self._state = self._state, current
         members = current.members
+        if members is before.members:
+            return
+        self._order = tuple(sorted(members))
+        self._digest = hearsay.find_digest(self._order)
         # A new member counts as heard of when it registers. Those that were
         # registered when this process started may be gone since long.
         joined = now if self._joined else now - SILENT_S + FIRST_ECHO_S
@@ -104,10 +129,10 @@
         for gone in self._view.heard.keys() - members.keys():
             del self._view.heard[gone]
 
-    def _publish_silent(self, now, peers) -> None:
+    def _publish_silent(self, now) -> None:
         silent = frozenset(
             one
-            for one in peers
+            for one in self._list_peers()
             if now - max(self._view.heard.get(one, 0.0), self._joined[one])
             > SILENT_S
         )
@@ -139,7 +164,7 @@
             self._view.without_log.add(member)
 
     def _note_heard(self, member, at) -> None:
-        if at > self._view.heard.get(member, float('-inf')):
+        if at > self._view.heard.get(member, NEVER):
             self._view.heard[member] = at
 
     def _list_topics(self, now) -> tuple[messages.TopicAge, ...]:
@@ -152,6 +177,28 @@
 
     def _build_echo(self, probe) -> messages.Echo:
         now = clock.read_boot_clock()
+        heard, packed = (), None
+        if probe.members == self._digest:
+            packed = self._pack_ages(now)
+        else:
+            heard = self._list_heard(now)
+        return messages.Echo(
+            self._incarnation,
+            probe.sent_at,
+            self._list_topics(now),
+            heard,
+            self._has_log,
+            packed,
+        )
+
+    def _pack_ages(self, now) -> messages.PackedAges:
+        count = len(self._order)
+        first = random.randrange(count) if count > hearsay.MOST_AGES else 0
+        members = hearsay.select_members(self._order, first, hearsay.MOST_AGES)
+        ages = hearsay.pack_ages(members, self._view.heard, now)
+        return messages.PackedAges(self._digest, first, ages)
+
+    def _list_heard(self, now) -> tuple[tuple[int, float], ...]:
         heard = [
             (one, now - at)
             for one, at in self._view.heard.items()
@@ -159,13 +206,7 @@
         ]
         if len(heard) > MOST_HEARD:
             heard = random.sample(heard, MOST_HEARD)
-        return messages.Echo(
-            self._incarnation,
-            probe.sent_at,
-            self._list_topics(now),
-            tuple(heard),
-            self._has_log,
-        )
+        return tuple(heard)
 
     def _take_echo(self, echo) -> None:
         # All ages count from the sending of the probe, which was before the
@@ -175,6 +216,17 @@
         for one, age in echo.heard:
             if one in self._state.members:
                 self._note_heard(one, echo.sent_at - age)
+        packed = echo.packed
+        # A state of other members may have come since the probe was sent.
+        if packed is not None and packed.members == self._digest:
+            members = hearsay.select_members(
+                self._order, packed.first, len(packed.ages)
+            )
+            heard, sent_at = self._view.heard, echo.sent_at
+            for one, age in hearsay.list_ages(members, packed.ages):
+                at = sent_at - age
+                if at > heard.get(one, NEVER):
+                    heard[one] = at
         member = self._state.members.get(echo.member)
         for follower, fetcher, topic in zip(
             self._followers, self._fetchers, echo.topics, strict=False
