--- a/test/test_framing.py
+++ b/test/test_framing.py
@@ -8,7 +8,8 @@
 
 from sesamejunction.border import framing
 from sesamejunction.model import linking
-from sesamejunction.tasks import links
+from sesamejunction.tasks import link as linkage
+from sesamejunction.tasks import linkserver
 from sesamejunction.tasks import vitals as watching
 
 SECRET = b'framing-secret-0001'
@@ -45,8 +46,8 @@
 
 
 def build_server():
-    ports = links.ServerPorts(OWN, SECRET, None, None)
-    server = links.LinkServer(ports)
+    ports = linkserver.ServerPorts(OWN, SECRET, None, None)
+    server = linkserver.LinkServer(ports)
     server.connection_made(Transport())
     return server
 
@@ -55,7 +56,7 @@
     vitals = types.SimpleNamespace(
         traffic=watching.Traffic(), describe=lambda: {}
     )
-    link = links.Link(vitals)
+    link = linkage.Link(vitals)
     link.connection_made(Transport())
     return link
 
@@ -122,5 +123,5 @@
         _, future = link.start_exchange()
         link.data_received(data[:cut])
         link.connection_lost(None)
-        with pytest.raises(links.errors.PeerLost):
+        with pytest.raises(linkage.errors.PeerLost):
             await future
