Refuse work for a node's former process as not run

Cause: a node that starts anew has another incarnation at the same port. Until the others have read its registration they open connections with the Hello of the former process and send work right behind it. The new process closed such a connection, which the sender cannot tell from an answer that is lost: a request that may not be repeated ended as 'lost' with an unknown outcome, a repeatable one cost a retry and a token.

A Hello with the fleet's tag for another receiver is now kept open for refusals. Work and offers get 'no-target', 'not run', so they are tried again; questions close the connection as before. Its frames are bounded by 256 KiB. A Hello without the tag still closes the connection at once.

--- a/sesamejunction/border/framing.py
+++ b/sesamejunction/border/framing.py
@@ -16,6 +16,9 @@
 # A first frame takes under 50 bytes; whoever has not shown that it belongs to
 # the fleet is given no memory for more.
 MAX_HELLO_BYTES = 1 << 10
+# A member that meant an earlier process of this node gets refusals only. Its
+# frames are small bodies, offers and heads; the largest body is 16 KiB.
+MAX_STALE_BYTES = 1 << 18
 TAG_BYTES = 16
 
 ENCODER = msgspec.msgpack.Encoder()
@@ -32,10 +35,10 @@
     ).digest()
 
 
-def check_hello(secret: bytes, hello: linking.Hello, receiver: int) -> bool:
-    """Return whether a member of the fleet meant this receiver."""
-    return hello.receiver == receiver and hmac.compare_digest(
-        hello.tag, tag_hello(secret, hello.sender, receiver)
+def check_hello(secret: bytes, hello: linking.Hello) -> bool:
+    """Return whether a member of the fleet meant the receiver it names."""
+    return hmac.compare_digest(
+        hello.tag, tag_hello(secret, hello.sender, hello.receiver)
     )
 
 
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -10,8 +10,12 @@
 from sesamejunction import errors
 from sesamejunction.model import intaking
 from sesamejunction.model import linking
+from sesamejunction.model import requests
 from sesamejunction.tasks import clock
 
+# A new process of a node is known to all others in about this time.
+STALE_RETRY_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerPorts:
@@ -38,6 +42,7 @@
         super().__init__(ports.traffic, framing.MAX_HELLO_BYTES)
         self._ports = ports
         self._known = False
+        self._is_stale = False
         self._sender = 0
         self._running = {}
         self._arriving = set()
@@ -58,22 +63,19 @@
         """Take one frame of the peer."""
         match frame:
             case linking.Hello():
-                self._known = framing.check_hello(
-                    self._ports.secret, frame, self._ports.incarnation
-                )
-                self._sender = frame.sender
-                if self._known:
-                    self.frame_limit = framing.MAX_FRAME_BYTES
-                else:
-                    self.transport.abort()
+                self._take_hello(frame)
             case _ if not self._known:
                 self.transport.abort()
+            case linking.Work() | linking.WorkOffer() if self._is_stale:
+                self.send_frame(refuse_stale(frame.id))
             case linking.Ping():
                 self.send_frame(linking.Pong(0))
             case linking.Cancel():
                 found = self._running.get(frame.id)
                 if found is not None:
                     found[0].cancel()
+            case _ if self._is_stale:
+                self.transport.close()
             case linking.Work():
                 self._start(frame.id, self._work(frame), frame.repeatable)
             case linking.WorkOffer():
@@ -85,6 +87,21 @@
             case _:
                 self._start(frame.id, self._answer(frame), True)
 
+    def _take_hello(self, hello) -> None:
+        """Learn who is there; one that meant a former process is refused.
+
+        A closed connection would tell it that its requests may have run.
+        """
+        self._known = framing.check_hello(self._ports.secret, hello)
+        self._is_stale = hello.receiver != self._ports.incarnation
+        self._sender = hello.sender
+        if not self._known:
+            self.transport.abort()
+        elif self._is_stale:
+            self.frame_limit = framing.MAX_STALE_BYTES
+        else:
+            self.frame_limit = framing.MAX_FRAME_BYTES
+
     def _start(self, number, coroutine, repeatable) -> None:
         task = asyncio.ensure_future(coroutine)
         self._running[number] = task, repeatable
@@ -137,3 +154,16 @@
         reply = await self._ports.answer(frame)
         if reply is not None:
             self.send_frame(reply)
+
+
+def refuse_stale(number: int) -> linking.Refused:
+    """Return the reply to work for a former process of this node."""
+    return linking.Refused(
+        number,
+        requests.Code.NO_TARGET.value,
+        requests.Outcome.NOT_RUN.value,
+        'the node has started anew and is not known by its new process yet;'
+        ' retry',
+        STALE_RETRY_S,
+        None,
+    )
--- a/test/test_framing.py
+++ b/test/test_framing.py
@@ -15,6 +15,7 @@
 SECRET = b'framing-secret-0001'
 OWN, PEER = 1, 2
 HELLO = linking.Hello(0, PEER, OWN, framing.tag_hello(SECRET, PEER, OWN))
+STALE = linking.Hello(0, PEER, 9, framing.tag_hello(SECRET, PEER, 9))
 REFUSED = linking.Refused(1, 'shed', 'not-run', 'full', None, None)
 
 
@@ -70,6 +71,10 @@
     'stranger, no hello': (
         build_server, b'', encode(linking.Ping(0)), 1 << 14,
     ),
+    'member of a former process, large frame': (
+        build_server, encode(STALE) + framing.LENGTH.pack(1 << 20),
+        bytes(4096), 1 << 14,
+    ),
     'member, larger than any': (
         build_server, encode(HELLO) + framing.LENGTH.pack(1 << 31),
         bytes(4096), 1 << 14,
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -12,6 +12,7 @@
 from sesamejunction.border import framing
 from sesamejunction.border import hostedmetrics
 from sesamejunction.commands import ports as porting
+from sesamejunction.commands import uploads
 from sesamejunction.model import choosing
 from sesamejunction.model import linking
 from sesamejunction.model import owning
@@ -19,6 +20,7 @@
 from sesamejunction.tasks import clock as clocks
 from sesamejunction.tasks import link as linkage
 from sesamejunction.tasks import links
+from sesamejunction.tasks import linkserver
 from sesamejunction.tasks import vitals
 from test import journeys
 
@@ -254,7 +256,7 @@
     return outcome, clocks.read_boot_clock() - now, MutePeer.made
 
 
-async def route(sender, member, deadline, **changes):
+async def route(sender, member, deadline, upload=uploads.EMPTY, **changes):
     """Return the outcome of a request to the member."""
     ports = journeys.make_ports(
         incarnation=-1,
@@ -265,7 +267,7 @@
         room=porting.Room(100),
     )
     head = dataclasses.replace(journeys.HEAD, deadline=deadline, **changes)
-    return await journeys.route(ports, head)
+    return await journeys.route(ports, head, upload)
 
 
 class OneOwner(journeys.Chooser):
@@ -411,3 +413,28 @@
         deadline = clocks.read_boot_clock() + 1.0
         assert await route(sender, member, deadline) == 'answer'
     assert [one.left_ms <= left_ms for one in Recorder.works] == [True]
+
+
+# Guards against a request that is told to have run, or may not be repeated and
+# is given up, though it only reached the port of a node that has started anew
+# and is still known by its former process: size of the body, changes.
+@pytest.mark.parametrize('size', [0, links.BULK_BYTES])
+@pytest.mark.parametrize('repeatable', [False, True])
+async def test_restarted_node_refuses_work_for_its_former_process(
+    size, repeatable
+):
+    former = journeys.MEMBERS[2].incarnation
+    ports = linkserver.ServerPorts(former + 100, b'', None, None)
+    async with open_sender(lambda: linkserver.LinkServer(ports)) as (
+        sender,
+        member,
+    ):
+        deadline = clocks.read_boot_clock() + 0.3
+        found = await route(
+            sender,
+            member,
+            deadline,
+            uploads.Upload(bytes(size)),
+            repeatable=repeatable,
+        )
+    assert found == 'no-target not-run'
