Let other nodes close their connections before a node ends

Cause: at the end of a planned stop the node ended with its connections to other nodes open. Nodes send to the owner of a key until it is gone, so work was on its way then, unread or refused but not yet sent. The senders saw a lost connection: requests that may not be repeated ended as 'lost' with an unknown outcome although nothing ran, and an answer that was still in the node's buffers on a slow line was lost as well. Bytes unread at the end also make the system reset the connection, which drops what was sent last.

The node now closes its peer port and sends a refusal with id 0 on each connection. The sender starts nothing new there and closes once all replies are in; a new connection is refused, which is 'not run'. The node goes on refusing work for 0.5 s at most meanwhile.

--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -6,6 +6,11 @@
 from sesamejunction.model import registry
 
 
+# In Refused in place of an exchange: the sender stops, and nothing new may be
+# sent to it. Exchanges count from 1, so earlier versions drop such a reply.
+ALL = 0
+
+
 class Frame(msgspec.Struct, frozen=True, array_like=True):
     """Base of all frames; ``id`` names the exchange on its connection."""
 
--- a/sesamejunction/tasks/link.py
+++ b/sesamejunction/tasks/link.py
@@ -119,6 +119,9 @@
             # The accepting side sends replies only.
             self.transport.abort()
             return
+        if isinstance(frame, linking.Refused) and frame.id == linking.ALL:
+            self._end_use()
+            return
         found = self._open.get(frame.id)
         if found is not None and not found.future.done():
             found.future.set_result(frame)
@@ -132,6 +135,12 @@
         for one in lost.values():
             fail_exchange(one.future)
 
+    def _end_use(self) -> None:
+        """Start nothing new; close once all replies are here."""
+        self._retired = True
+        if not self._open:
+            self.transport.close()
+
     def _note_heard(self) -> None:
         self._heard_at = asyncio.get_running_loop().time()
         self._is_asked = False
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -13,6 +13,10 @@
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
 
+# Other nodes end their connections after about one round trip, or when the
+# last answer, of up to 250,000 bytes at 5 Mbit/s, is there.
+FAREWELL_S = 0.5
+CHECK_S = 0.01
 # A new process of a node is known to all others in about this time.
 STALE_RETRY_S = 0.1
 
@@ -43,6 +47,7 @@
         self._ports = ports
         self._known = False
         self._is_stale = False
+        self._has_parted = False
         self._sender = 0
         self._running = {}
         self._arriving = set()
@@ -67,7 +72,13 @@
             case _ if not self._known:
                 self.transport.abort()
             case linking.Work() | linking.WorkOffer() if self._is_stale:
-                self.send_frame(refuse_stale(frame.id))
+                self.send_frame(
+                    refuse_work(
+                        frame.id,
+                        requests.Code.NO_TARGET,
+                        'the node has started anew',
+                    )
+                )
             case linking.Ping():
                 self.send_frame(linking.Pong(0))
             case linking.Cancel():
@@ -87,6 +98,14 @@
             case _:
                 self._start(frame.id, self._answer(frame), True)
 
+    def end_use(self) -> None:
+        """Ask the other node to send nothing new and to close."""
+        if not self._has_parted:
+            self._has_parted = True
+            self.send_frame(
+                refuse_work(linking.ALL, requests.Code.STOPPING, 'node stops')
+            )
+
     def _take_hello(self, hello) -> None:
         """Learn who is there; one that meant a former process is refused.
 
@@ -156,14 +175,27 @@
             self.send_frame(reply)
 
 
-def refuse_stale(number: int) -> linking.Refused:
-    """Return the reply to work for a former process of this node."""
+def refuse_work(number: int, code: requests.Code, reason: str):
+    """Return the reply to work that surely does not run here."""
     return linking.Refused(
         number,
-        requests.Code.NO_TARGET.value,
+        code.value,
         requests.Outcome.NOT_RUN.value,
-        'the node has started anew and is not known by its new process yet;'
-        ' retry',
+        f'{reason}; retry',
         STALE_RETRY_S,
         None,
     )
+
+
+async def end_connections(ports: ServerPorts, limit_s=FAREWELL_S) -> None:
+    """Let other nodes close their connections; work is answered meanwhile.
+
+    What they have sent to a connection that this node closes would be lost,
+    and they could not tell that it has not run.
+    """
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + limit_s
+    while ports.connections and loop.time() < ends:
+        for one in ports.connections:
+            one.end_use()
+        await asyncio.sleep(CHECK_S)
--- a/sesamejunction/ui/hostednode.py
+++ b/sesamejunction/ui/hostednode.py
@@ -94,6 +94,7 @@
         parts.finish_work()
         while parts.count_open() and loop.time() < ends:
             await asyncio.sleep(CHECK_S)
+        await parts.leave_peers()
         eliot.log_message('node: stopped', cut=parts.count_open())
 
     def _reload(self) -> None:
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -286,7 +286,7 @@
         self.metrics = metrics.MetricsPage(self._metrics, self._sample)
 
     async def _open_peer_port(self) -> None:
-        ports = linkserver.ServerPorts(
+        self._peer_ports = ports = linkserver.ServerPorts(
             self._incarnation,
             self._links.secret,
             self._host_request,
@@ -294,7 +294,9 @@
             self._bodies,
             self._vitals.traffic,
         )
-        listener = await asyncio.get_running_loop().create_server(
+        self._listener = (
+            listener
+        ) = await asyncio.get_running_loop().create_server(
             lambda: linkserver.LinkServer(ports),
             sock=pools.bind_listener(self._host, self._settings.peer_port),
         )
@@ -350,6 +352,11 @@
         """
         self._scheduler.tell(gating.StopAdmitting())
 
+    async def leave_peers(self) -> None:
+        """Let other nodes close their connections to this one."""
+        self._listener.close()
+        await linkserver.end_connections(self._peer_ports)
+
     def count_open(self) -> int:
         """Return the requests that still run here."""
         load = self._scheduler.load
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -515,3 +515,52 @@
         assert clocks.read_boot_clock() - started < 0.2
         assert MutePeer.made == 2
         assert await asking == 9
+
+
+REFUSAL_S = 0.02
+
+
+async def refuse_late(_head, _body):
+    """Refuse a request as a node that stops does, after other work."""
+    await asyncio.sleep(REFUSAL_S)
+    return porting.refuse(requests.Code.STOPPING, 'stops', retry_after_s=0.1)
+
+
+# Guards against requests that are given up as if they had run, since they were
+# on their way when a node ended after a planned stop: seconds between them.
+@pytest.mark.parametrize('pause_s', [0.0005, 0.003, 0.05])
+async def test_planned_stop_loses_no_request_on_its_way(pause_s):
+    loop, metrics = asyncio.get_running_loop(), hostedmetrics.HostedMetrics()
+    former = journeys.MEMBERS[2].incarnation
+    ports = linkserver.ServerPorts(former, b'', refuse_late, None)
+    server = await loop.create_server(
+        lambda: linkserver.LinkServer(ports), '127.0.0.1', 0
+    )
+    member = dataclasses.replace(
+        journeys.MEMBERS[2],
+        host='127.0.0.1',
+        peer_port=server.sockets[0].getsockname()[1],
+    )
+    watch = vitals.Vitals(vitals.Traffic(), metrics)
+
+    async def stop():
+        await asyncio.sleep(0.1)
+        server.close()
+        await linkserver.end_connections(ports)
+        for one in list(ports.connections):
+            one.transport.abort()
+
+    async with links.Links(1, '127.0.0.1', metrics, watch) as sender:
+        running = [asyncio.ensure_future(stop())]
+        ends = loop.time() + 0.3
+        while loop.time() < ends:
+            deadline = clocks.read_boot_clock() + 0.25
+            running.append(
+                asyncio.ensure_future(
+                    route(sender, member, deadline, repeatable=False)
+                )
+            )
+            await asyncio.sleep(pause_s)
+        _, *found = await asyncio.gather(*running)
+    assert set(found) <= {'stopping not-run', 'no-target not-run'}
+    assert not ports.connections
