Begin no exchange on a connection that was closed at once

Cause: requests that wait for one new connection get their turn after its task has ended. When the other node closed it in between, the exchange began after connection_lost() had failed all exchanges. Nothing was sent, but the request waited for its deadline and ended as 'lost' with an unknown outcome.

The connection is looked at again after the wait.

--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -221,11 +221,18 @@
             )
         try:
             async with asyncio.timeout(max(0.0, min(CONNECT_S, left_s))):
-                return await asyncio.shield(making)
+                link = await asyncio.shield(making)
         except (OSError, TimeoutError) as error:
             raise errors.PeerUnavailable(
                 f'no connection to {member.name}; nothing ran'
             ) from error
+        if not link.is_open:
+            # It was closed before this request had its turn, and nothing
+            # would end an exchange that begins now.
+            raise errors.PeerUnavailable(
+                f'{member.name} closed the connection; nothing ran'
+            )
+        return link
 
     async def _open(self, member, key) -> linkage.Link:
         loop = asyncio.get_running_loop()
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -564,3 +564,28 @@
         _, *found = await asyncio.gather(*running)
     assert set(found) <= {'stopping not-run', 'no-target not-run'}
     assert not ports.connections
+
+
+@pytest.mark.parametrize('size', [0, links.BULK_BYTES])
+async def test_connection_closed_at_once_has_run_nothing(monkeypatch, size):
+    """Guards against a request that waits for a reply until its deadline.
+
+    Its connection was closed between its opening and the request's turn.
+    """
+    async with open_sender(PromptPeer) as (sender, member):
+        opening = sender._open
+
+        async def open_and_lose(member, key):
+            link = await opening(member, key)
+            link.transport.abort()
+            return link
+
+        monkeypatch.setattr(sender, '_open', open_and_lose)
+        found = await route(
+            sender,
+            member,
+            clocks.read_boot_clock() + 0.3,
+            uploads.Upload(bytes(size)),
+            repeatable=False,
+        )
+    assert found == 'no-target not-run'
