Judge no member by echoes that a late loop has not read

Cause: silence is judged 0.1 s after the probes of a round. When the node's own loop stood still in between for longer than a member may be silent, the echoes were not read yet, and their ages count from before the delay. All members then seemed silent for a round: keyed requests were refused at once, and the node took itself for the planner.

A look that comes 0.3 s late sends new probes and judges by their echoes, once in a row, so that a loop that is always late still finds lost members.

--- a/sesamejunction/tasks/presence.py
+++ b/sesamejunction/tasks/presence.py
@@ -19,6 +19,9 @@
 # round all ages are half a second higher, and of 150 members one would seem
 # silent every few seconds.
 ECHO_S = 0.1
+# A look that is later than this was delayed by this node's own loop; echoes
+# may have come that were not read yet, and ages count from before the delay.
+LATE_S = 0.3
 # Members probed in each round; others are heard of through these.
 FAN_OUT = 6
 # Ages with names carried by one echo, to keep it within a datagram. They are
@@ -73,6 +76,8 @@
         self._started_at = clock.read_boot_clock()
         self._joined = {}
         self._awaits_echoes = False
+        self._probed_at = NEVER
+        self._is_put_off = False
         self._order = ()
         self._digest = 0
 
@@ -93,15 +98,22 @@
     async def tick(self) -> None:
         """Probe some members, and later publish the silent ones."""
         now = clock.read_boot_clock()
+        is_late = now - self._probed_at >= ECHO_S + LATE_S
+        if self._awaits_echoes and is_late and not self._is_put_off:
+            self._is_put_off = True
+            self._send_probes(now)
+            return
         self._awaits_echoes = not self._awaits_echoes
         if self._awaits_echoes:
             self._send_probes(now)
             self.tick_s = ECHO_S
         else:
+            self._is_put_off = False
             self._publish_silent(now)
             self.tick_s = PROBE_S - ECHO_S
 
     def _send_probes(self, now) -> None:
+        self._probed_at = now
         self._note_log(self._incarnation, self._has_log)
         peers = self._list_peers()
         probe = messages.Probe(
--- a/test/test_presence.py
+++ b/test/test_presence.py
@@ -176,6 +176,40 @@
     assert tuple(found) == members
 
 
+# Guards against members that are taken for silent since this node's own loop
+# was late: seconds that it stood still while it waited for echoes, members
+# that end meanwhile, and those that it takes for silent after its next looks.
+@pytest.mark.parametrize(
+    ('pause_s', 'dead', 'silent'),
+    [
+        pytest.param(0.0, [], set(), id='in time'),
+        pytest.param(1.0, [], set(), id='late'),
+        pytest.param(2.0, [], set(), id='later than a member may be silent'),
+        pytest.param(2.0, [3], {3}, id='one is gone'),
+    ],
+)
+async def test_late_loop_makes_no_member_silent(
+    monkeypatch, pause_s, dead, silent
+):
+    network = Network(range(1, 11), monkeypatch)
+    for one in network.nodes:
+        await network.know(one, network.nodes)
+    await network.run(WARM_S)
+    late = network.nodes[1]
+    while not late._awaits_echoes:
+        await network.run(STEP_S)
+    network.dead.update(dead)
+    network.dead.add(1)
+    await network.run(pause_s)
+    network.dead.remove(1)
+    seen = set()
+    network.due[1] = network.now
+    for _ in range(12):
+        await network.run(STEP_S)
+        seen |= late.view.silent
+    assert seen == silent
+
+
 class EarlierEcho(msgspec.Struct, frozen=True, array_like=True, tag=10):
     """The body of an echo as earlier versions know it."""
 
