Wait for callers who come while a node takes leave of the others

Cause: after a planned stop had no request left, the callers' listener stayed open while the other parts were closed, and now also while other nodes close their connections. A request that came then was begun at another node's target and cut.

The callers' listener is closed first, so that a new caller is refused a connection and nothing runs, and requests on kept connections are waited for again, up to the limit of the stop.

--- a/sesamejunction/ui/hostednode.py
+++ b/sesamejunction/ui/hostednode.py
@@ -25,7 +25,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._stopping = asyncio.Event()
         self._parts = None
-        self._sites = []
+        self._callers_sites = []
 
     async def __aenter__(self):
         await self._stack.__aenter__()
@@ -66,7 +66,9 @@
 
     async def _listen(self) -> None:
         parts, checked = self._parts, self._settings
-        await self._open(parts.front.build_server(), checked.parse('callers'))
+        callers = checked.parse('callers')
+        site = await self._open(parts.front.build_server(), callers)
+        self._callers_sites.append(site)
         control = parts.control.build_server()
         await self._open(control, checked.parse('heartbeats'))
         await self._open(control, checked.parse('readiness'))
@@ -75,13 +77,13 @@
         )
         await self._open(parts.metrics.build_server(), metrics)
 
-    async def _open(self, server, address) -> None:
+    async def _open(self, server, address) -> web.TCPSite:
         runner = web.ServerRunner(server, shutdown_timeout=0)
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
         site = web.TCPSite(runner, address.host, address.port, backlog=1024)
         await site.start()
-        self._sites.append(site)
+        return site
 
     async def _stop(self) -> None:
         """Let callers leave, finish all requests, then end."""
@@ -92,11 +94,20 @@
         eliot.log_message('node: stopping', open=parts.count_open())
         await asyncio.sleep(LEAVE_S)
         parts.finish_work()
-        while parts.count_open() and loop.time() < ends:
-            await asyncio.sleep(CHECK_S)
+        await self._await_end_of_work(ends)
+        # A caller that still comes is refused a connection, so nothing runs.
+        for site in self._callers_sites:
+            await site.stop()
         await parts.leave_peers()
+        # Callers may have come meanwhile on connections that they had.
+        await self._await_end_of_work(ends)
         eliot.log_message('node: stopped', cut=parts.count_open())
 
+    async def _await_end_of_work(self, ends: float) -> None:
+        loop = asyncio.get_running_loop()
+        while self._parts.count_open() and loop.time() < ends:
+            await asyncio.sleep(CHECK_S)
+
     def _reload(self) -> None:
         """Read the settings again; addresses change with a restart only."""
         before = self._settings
