--- a/sesamejunction/tasks/link.py
+++ b/sesamejunction/tasks/link.py
@@ -68,6 +68,11 @@
             return 0
         return self.transport.get_write_buffer_size()
 
+    def has_received(self, within_s: float) -> bool:
+        """Return whether a part of a frame came within the last seconds."""
+        since = asyncio.get_running_loop().time() - self._heard_at
+        return self.has_part and since <= within_s
+
     def start_exchange(self, tell_silent=None) -> tuple[int, asyncio.Future]:
         """Return the id of a new exchange and the future of its reply.
 
@@ -114,6 +119,9 @@
             # The accepting side sends replies only.
             self.transport.abort()
             return
+        if isinstance(frame, linking.Refused) and frame.id == linking.ALL:
+            self._end_use()
+            return
         found = self._open.get(frame.id)
         if found is not None and not found.future.done():
             found.future.set_result(frame)
@@ -127,6 +135,12 @@
         for one in lost.values():
             fail_exchange(one.future)
 
+    def _end_use(self) -> None:
+        """Start nothing new; close once all replies are here."""
+        self._retired = True
+        if not self._open:
+            self.transport.close()
+
     def _note_heard(self) -> None:
         self._heard_at = asyncio.get_running_loop().time()
         self._is_asked = False
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -10,8 +10,16 @@
 from sesamejunction import errors
 from sesamejunction.model import intaking
 from sesamejunction.model import linking
+from sesamejunction.model import requests
 from sesamejunction.tasks import clock
 
+# Other nodes end their connections after about one round trip, or when the
+# last answer, of up to 250,000 bytes at 5 Mbit/s, is there.
+FAREWELL_S = 0.5
+CHECK_S = 0.01
+# A new process of a node is known to all others in about this time.
+STALE_RETRY_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerPorts:
@@ -38,6 +46,8 @@
         super().__init__(ports.traffic, framing.MAX_HELLO_BYTES)
         self._ports = ports
         self._known = False
+        self._is_stale = False
+        self._has_parted = False
         self._sender = 0
         self._running = {}
         self._arriving = set()
@@ -58,22 +68,25 @@
         """Take one frame of the peer."""
         match frame:
             case linking.Hello():
-                self._known = framing.check_hello(
-                    self._ports.secret, frame, self._ports.incarnation
-                )
-                self._sender = frame.sender
-                if self._known:
-                    self.frame_limit = framing.MAX_FRAME_BYTES
-                else:
-                    self.transport.abort()
+                self._take_hello(frame)
             case _ if not self._known:
                 self.transport.abort()
+            case linking.Work() | linking.WorkOffer() if self._is_stale:
+                self.send_frame(
+                    refuse_work(
+                        frame.id,
+                        requests.Code.NO_TARGET,
+                        'the node has started anew',
+                    )
+                )
             case linking.Ping():
                 self.send_frame(linking.Pong(0))
             case linking.Cancel():
                 found = self._running.get(frame.id)
                 if found is not None:
                     found[0].cancel()
+            case _ if self._is_stale:
+                self.transport.close()
             case linking.Work():
                 self._start(frame.id, self._work(frame), frame.repeatable)
             case linking.WorkOffer():
@@ -85,6 +98,29 @@
             case _:
                 self._start(frame.id, self._answer(frame), True)
 
+    def end_use(self) -> None:
+        """Ask the other node to send nothing new and to close."""
+        if not self._has_parted:
+            self._has_parted = True
+            self.send_frame(
+                refuse_work(linking.ALL, requests.Code.STOPPING, 'node stops')
+            )
+
+    def _take_hello(self, hello) -> None:
+        """Learn who is there; one that meant a former process is refused.
+
+        A closed connection would tell it that its requests may have run.
+        """
+        self._known = framing.check_hello(self._ports.secret, hello)
+        self._is_stale = hello.receiver != self._ports.incarnation
+        self._sender = hello.sender
+        if not self._known:
+            self.transport.abort()
+        elif self._is_stale:
+            self.frame_limit = framing.MAX_STALE_BYTES
+        else:
+            self.frame_limit = framing.MAX_FRAME_BYTES
+
     def _start(self, number, coroutine, repeatable) -> None:
         task = asyncio.ensure_future(coroutine)
         self._running[number] = task, repeatable
@@ -137,3 +173,29 @@
         reply = await self._ports.answer(frame)
         if reply is not None:
             self.send_frame(reply)
+
+
+def refuse_work(number: int, code: requests.Code, reason: str):
+    """Return the reply to work that surely does not run here."""
+    return linking.Refused(
+        number,
+        code.value,
+        requests.Outcome.NOT_RUN.value,
+        f'{reason}; retry',
+        STALE_RETRY_S,
+        None,
+    )
+
+
+async def end_connections(ports: ServerPorts, limit_s=FAREWELL_S) -> None:
+    """Let other nodes close their connections; work is answered meanwhile.
+
+    What they have sent to a connection that this node closes would be lost,
+    and they could not tell that it has not run.
+    """
+    loop = asyncio.get_running_loop()
+    ends = loop.time() + limit_s
+    while ports.connections and loop.time() < ends:
+        for one in ports.connections:
+            one.end_use()
+        await asyncio.sleep(CHECK_S)
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -12,13 +12,17 @@
 from sesamejunction.border import framing
 from sesamejunction.border import hostedmetrics
 from sesamejunction.commands import ports as porting
+from sesamejunction.commands import uploads
+from sesamejunction import errors
 from sesamejunction.model import choosing
 from sesamejunction.model import linking
 from sesamejunction.model import owning
+from sesamejunction.model import registry
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock as clocks
 from sesamejunction.tasks import link as linkage
 from sesamejunction.tasks import links
+from sesamejunction.tasks import linkserver
 from sesamejunction.tasks import vitals
 from test import journeys
 
@@ -254,7 +258,7 @@
     return outcome, clocks.read_boot_clock() - now, MutePeer.made
 
 
-async def route(sender, member, deadline, **changes):
+async def route(sender, member, deadline, upload=uploads.EMPTY, **changes):
     """Return the outcome of a request to the member."""
     ports = journeys.make_ports(
         incarnation=-1,
@@ -265,7 +269,7 @@
         room=porting.Room(100),
     )
     head = dataclasses.replace(journeys.HEAD, deadline=deadline, **changes)
-    return await journeys.route(ports, head)
+    return await journeys.route(ports, head, upload)
 
 
 class OneOwner(journeys.Chooser):
@@ -411,3 +415,177 @@
         deadline = clocks.read_boot_clock() + 1.0
         assert await route(sender, member, deadline) == 'answer'
     assert [one.left_ms <= left_ms for one in Recorder.works] == [True]
+
+
+# Guards against a request that is told to have run, or may not be repeated and
+# is given up, though it only reached the port of a node that has started anew
+# and is still known by its former process: size of the body, changes.
+@pytest.mark.parametrize('size', [0, links.BULK_BYTES])
+@pytest.mark.parametrize('repeatable', [False, True])
+async def test_restarted_node_refuses_work_for_its_former_process(
+    size, repeatable
+):
+    former = journeys.MEMBERS[2].incarnation
+    ports = linkserver.ServerPorts(former + 100, b'', None, None)
+    async with open_sender(lambda: linkserver.LinkServer(ports)) as (
+        sender,
+        member,
+    ):
+        deadline = clocks.read_boot_clock() + 0.3
+        found = await route(
+            sender,
+            member,
+            deadline,
+            uploads.Upload(bytes(size)),
+            repeatable=repeatable,
+        )
+    assert found == 'no-target not-run'
+
+
+COPY = registry.Copy(9, {'routes': registry.Item(8, bytes(250_000))})
+PIECES = 6
+
+
+class SlowPeer(MutePeer):
+    """Sends a copy in pieces, and the rest of its replies at once."""
+
+    pieces = PIECES
+    pause_s = 0.0
+
+    def take_frame(self, frame) -> None:
+        if isinstance(frame, linking.Work):
+            self.send_frame(make_done(frame))
+        elif isinstance(frame, linking.CopyQuestion):
+            self._send_pieces(linking.CopyReply(frame.id, COPY, 0.0))
+
+    def _send_pieces(self, frame) -> None:
+        data = framing.ENCODER.encode(frame)
+        data = framing.LENGTH.pack(len(data)) + data
+        size = -(-len(data) // PIECES)
+        for place in range(self.pieces):
+            asyncio.get_running_loop().call_later(
+                place * self.pause_s,
+                self.transport.write,
+                data[place * size : (place + 1) * size],
+            )
+
+
+async def ask_copy(sender, member):
+    """Return the end of a member's copy, None without one."""
+    try:
+        reply = await sender.ask(member, registry.GetCopy('routes', 5))
+    except errors.PeerUnavailable:
+        return None
+    return reply.body.end
+
+
+# Guards against a copy that never comes over a slow line, since it is given up
+# while it arrives and asked for anew, and against a wait without end: pieces
+# of six that come, seconds between them, end of the copy, (least, most)
+# seconds.
+@pytest.mark.parametrize(
+    ('pieces', 'pause_s', 'end', 'within'),
+    [
+        pytest.param(6, 0.0, 9, (0.0, 0.2), id='at once'),
+        pytest.param(6, 0.4, 9, (1.9, 2.3), id='slow line'),
+        pytest.param(0, 0.0, None, (1.1, 1.4), id='silent'),
+        pytest.param(2, 0.1, None, (1.1, 2.6), id='stops half-way'),
+    ],
+)
+async def test_copy_is_waited_for_while_it_arrives(
+    pieces, pause_s, end, within
+):
+    peer = type('Pieces', (SlowPeer,), {'pieces': pieces, 'pause_s': pause_s})
+    async with open_sender(peer) as (sender, member):
+        started = clocks.read_boot_clock()
+        found = await ask_copy(sender, member)
+        taken_s = clocks.read_boot_clock() - started
+    assert found == end
+    assert within[0] <= taken_s <= within[1]
+
+
+async def test_copy_on_its_way_delays_no_request():
+    """Guards against small frames that wait behind a copy of a topic."""
+    peer = type('Pieces', (SlowPeer,), {'pause_s': 0.15})
+    async with open_sender(peer) as (sender, member):
+        asking = asyncio.ensure_future(ask_copy(sender, member))
+        await asyncio.sleep(0.1)
+        started = clocks.read_boot_clock()
+        assert await route(sender, member, started + 0.5) == 'answer'
+        assert clocks.read_boot_clock() - started < 0.2
+        assert MutePeer.made == 2
+        assert await asking == 9
+
+
+REFUSAL_S = 0.02
+
+
+async def refuse_late(_head, _body):
+    """Refuse a request as a node that stops does, after other work."""
+    await asyncio.sleep(REFUSAL_S)
+    return porting.refuse(requests.Code.STOPPING, 'stops', retry_after_s=0.1)
+
+
+# Guards against requests that are given up as if they had run, since they were
+# on their way when a node ended after a planned stop: seconds between them.
+@pytest.mark.parametrize('pause_s', [0.0005, 0.003, 0.05])
+async def test_planned_stop_loses_no_request_on_its_way(pause_s):
+    loop, metrics = asyncio.get_running_loop(), hostedmetrics.HostedMetrics()
+    former = journeys.MEMBERS[2].incarnation
+    ports = linkserver.ServerPorts(former, b'', refuse_late, None)
+    server = await loop.create_server(
+        lambda: linkserver.LinkServer(ports), '127.0.0.1', 0
+    )
+    member = dataclasses.replace(
+        journeys.MEMBERS[2],
+        host='127.0.0.1',
+        peer_port=server.sockets[0].getsockname()[1],
+    )
+    watch = vitals.Vitals(vitals.Traffic(), metrics)
+
+    async def stop():
+        await asyncio.sleep(0.1)
+        server.close()
+        await linkserver.end_connections(ports)
+        for one in list(ports.connections):
+            one.transport.abort()
+
+    async with links.Links(1, '127.0.0.1', metrics, watch) as sender:
+        running = [asyncio.ensure_future(stop())]
+        ends = loop.time() + 0.3
+        while loop.time() < ends:
+            deadline = clocks.read_boot_clock() + 0.25
+            running.append(
+                asyncio.ensure_future(
+                    route(sender, member, deadline, repeatable=False)
+                )
+            )
+            await asyncio.sleep(pause_s)
+        _, *found = await asyncio.gather(*running)
+    assert set(found) <= {'stopping not-run', 'no-target not-run'}
+    assert not ports.connections
+
+
+@pytest.mark.parametrize('size', [0, links.BULK_BYTES])
+async def test_connection_closed_at_once_has_run_nothing(monkeypatch, size):
+    """Guards against a request that waits for a reply until its deadline.
+
+    Its connection was closed between its opening and the request's turn.
+    """
+    async with open_sender(PromptPeer) as (sender, member):
+        opening = sender._open
+
+        async def open_and_lose(member, key):
+            link = await opening(member, key)
+            link.transport.abort()
+            return link
+
+        monkeypatch.setattr(sender, '_open', open_and_lose)
+        found = await route(
+            sender,
+            member,
+            clocks.read_boot_clock() + 0.3,
+            uploads.Upload(bytes(size)),
+            repeatable=False,
+        )
+    assert found == 'no-target not-run'
