--- /dev/null
+++ b/bench/hop.py
@@ -0,0 +1,296 @@
+"""Measures the processor time of a hosted request at two nodes.
+
+A caller sends to the entry node requests for keys of the owner node's server.
+"""
+
+import asyncio
+import contextlib
+import cProfile
+import dataclasses
+import json
+import os
+import pstats
+import signal
+import subprocess
+import sys
+import time
+
+import aiohttp
+from aiohttp import web
+import uvloop
+
+from bench import fixture
+from bench import hosted
+from sesamejunction.border import hostedsettings
+from sesamejunction.border import registrycodec
+from sesamejunction.model import registry
+from sesamejunction.platform import store as storing
+from sesamejunction.ui import hostednode
+from sesamejunction.ui import lines
+from standins import keyserver
+from standins import store as standin
+
+NODES = ('entry', 'owner')
+KEY = 'caller-key'
+REFUSED_PATH = '/part-0/refused'
+SERVED_PATH = '/part-0/served'
+ANSWER = b'a' * 1000
+# Before a window, so that connections are open and code is warm.
+WARM_UP = 200
+# An idle window of this length is taken off the window with requests.
+IDLE_S = 6.0
+SETTLED_S = 3.0
+KEYS = 65536
+FUNCTIONS = 60
+# Fields utime and stime of /proc/PID/stat behind the program's name.
+TIMES = slice(11, 13)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """Requests of one kind."""
+
+    name: str
+    size: int
+    path: str
+
+
+LOADS = (
+    Load('1 KB', 1_000, SERVED_PATH),
+    Load('60 KB', 60_000, SERVED_PATH),
+    Load('1 KB refused', 1_000, REFUSED_PATH),
+)
+
+
+class Server(keyserver.KeyServer):
+    """Serves work, or declines it when the path says so."""
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer one request at once."""
+        await request.read()
+        headers = {
+            'X-Attempt-Id': request.headers.get('X-Attempt-Id', ''),
+            'X-Response-Signature': 'signed',
+        }
+        if request.path == REFUSED_PATH:
+            headers = {**headers, 'X-Not-Executed': '1'}
+            return web.Response(status=503, headers=headers)
+        return web.Response(body=ANSWER, headers=headers)
+
+
+def build_config() -> bytes:
+    """Return declarations whose organisation has more than enough tokens."""
+    found = json.loads(hosted.build_config(40))
+    found['tenants'].append(
+        {'name': 'one', 'apiKeys': [KEY], 'ratePerS': 1e5, 'burst': 1e5}
+    )
+    return json.dumps(found).encode()
+
+
+def read_cpu(pid: int) -> float:
+    """Return the processor time of an own child in seconds."""
+    with open(f'/proc/{pid}/stat', encoding='ascii') as file:
+        fields = file.read().rpartition(')')[2].split()
+    ticks = sum(map(int, fields[TIMES]))
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+class Fleet:
+    """Two node processes, their servers and the store."""
+
+    def __init__(self, profiled: bool):
+        self._profiled = profiled
+        self._stack = contextlib.AsyncExitStack()
+        self._store = standin.Store()
+        self.processes = {}
+        self._servers = {}
+        self._session = None
+        self._front = ''
+        self._count = 0
+
+    async def __aenter__(self):
+        enter = self._stack.enter_async_context
+        runner = web.ServerRunner(
+            self._store.build_server(), shutdown_timeout=0.1
+        )
+        await runner.setup()
+        self._stack.push_async_callback(runner.cleanup)
+        keyserver.BEAT_S = hosted.BEAT_S
+        names = ('peer', 'callers', 'ready', 'control', 'target', 'metrics')
+        with fixture.fleet.Ports() as free:
+            log, *ports = free.take(1 + len(NODES) * len(names))
+        await web.TCPSite(runner, hosted.HOST, log).start()
+        await self._store.put(storing.OPERATOR_TOPIC, 'config', build_config())
+        await self._store.put(
+            storing.FLEET_TOPIC,
+            'secret',
+            registrycodec.encode_record(registry.SecretRecord(hosted.SECRET)),
+        )
+        for number, name in enumerate(NODES):
+            own = ports[number * len(names) : (number + 1) * len(names)]
+            found = dict(zip(names, own, strict=True))
+            self._servers[name] = await enter(
+                Server(
+                    *(f't-{name}', 'lookup'),
+                    f'{hosted.HOST}:{found["target"]}',
+                    *(f'{hosted.HOST}:{found["control"]}', []),
+                )
+            )
+            self.processes[name] = self._start_node(name, found, log)
+            self._front = self._front or f'{hosted.HOST}:{found["callers"]}'
+        self._session = await enter(aiohttp.ClientSession())
+        async with asyncio.timeout(hosted.READY_S):
+            while self._count_keys() < KEYS:
+                await asyncio.sleep(0.1)
+        await asyncio.sleep(SETTLED_S)
+        return self
+
+    async def __aexit__(self, *exc):
+        return await self._stack.__aexit__(*exc)
+
+    def _start_node(self, name, ports, log) -> subprocess.Popen:
+        settings = {
+            **{'NAME': name, 'ZONE': f'zone-{name}', 'HOST': hosted.HOST},
+            **{'PEER_PORT': ports['peer'], 'TARGET_SERVICE': 'lookup'},
+            'CALLERS': f'{hosted.HOST}:{ports["callers"]}',
+            'READINESS': f'{hosted.HOST}:{ports["ready"]}',
+            'HEARTBEATS': f'{hosted.HOST}:{ports["control"]}',
+            'TARGET': f'{hosted.HOST}:{ports["target"]}',
+            'LOG': f'{hosted.HOST}:{log}',
+            'METRICS_PORT': ports['metrics'],
+        }
+        process = subprocess.Popen(
+            [sys.executable, '-m', 'bench.hop', 'node']
+            + [str(int(self._profiled))],
+            env={
+                **os.environ,
+                **{f'SESAMEJUNCTION_{k}': str(v) for k, v in settings.items()},
+            },
+            stdout=subprocess.DEVNULL,
+        )
+        self._stack.callback(process.wait)
+        self._stack.callback(process.kill)
+        return process
+
+    def _count_keys(self) -> int:
+        return sum(
+            last - first + 1
+            for server in self._servers.values()
+            for first, last, _ in server.holds
+        )
+
+    async def send(self, load: Load) -> int:
+        """Send one request for a key of the owner; returns its status."""
+        self._count += 1
+        rows = self._servers['owner'].holds
+        first, last, _ = rows[self._count % len(rows)]
+        headers = {
+            'Host': 'shop-0.example',
+            'X-Attempt-Id': f'attempt-{self._count}',
+            'X-Deadline-Ms': '1900',
+            'Authorization': f'Token {KEY}',
+            'X-Shard-Key': str(first + self._count * 97 % (last - first + 1)),
+        }
+        url = f'http://{self._front}{load.path}'
+        async with self._session.post(
+            url, data=b'b' * load.size, headers=headers
+        ) as reply:
+            await reply.read()
+            return reply.status
+
+    async def send_many(self, load: Load, count: int, width: int) -> dict:
+        """Send requests, ``width`` at a time; returns their statuses."""
+        statuses = {}
+        left = iter(range(count))
+
+        async def call():
+            for _ in left:
+                status = await self.send(load)
+                statuses[status] = statuses.get(status, 0) + 1
+
+        await asyncio.gather(*(call() for _ in range(width)))
+        return statuses
+
+    def read_cpu(self) -> dict[str, float]:
+        """Return the processor time of each node."""
+        return {k: read_cpu(one.pid) for k, one in self.processes.items()}
+
+    async def stop(self) -> None:
+        """Let the nodes print their profiles and end."""
+        for one in self.processes.values():
+            one.send_signal(signal.SIGUSR2)
+            await asyncio.to_thread(one.wait)
+
+
+async def run_node(profile) -> None:
+    """Run a node until SIGUSR2."""
+    checked = hostedsettings.read_hosted_settings({})
+    ended = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, ended.set)
+    async with hostednode.Process(checked) as process:
+        running = asyncio.ensure_future(process.run())
+        if profile is not None:
+            profile.enable()
+        await ended.wait()
+        if profile is not None:
+            profile.disable()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+async def measure(
+    loads: tuple[Load, ...], count: int, width: int, profiled: bool
+) -> None:
+    """Run two nodes and print what a request costs at each."""
+    async with Fleet(profiled) as fleet:
+        loop = asyncio.get_running_loop()
+        started, before = loop.time(), fleet.read_cpu()
+        await asyncio.sleep(0.0 if profiled else IDLE_S)
+        idle_s, after = loop.time() - started, fleet.read_cpu()
+        idle = {k: (after[k] - before[k]) / idle_s for k in NODES}
+        for load in loads:
+            await fleet.send_many(load, WARM_UP, width)
+            started, before = loop.time(), fleet.read_cpu()
+            statuses = await fleet.send_many(load, count, width)
+            took_s, after = loop.time() - started, fleet.read_cpu()
+            costs = [
+                (after[k] - before[k] - idle[k] * took_s) / count * 1e3
+                for k in NODES
+            ]
+            print(
+                f'{load.name}:',
+                *(
+                    f'{k} {cost:.3f} ms'
+                    for k, cost in zip(NODES, costs, strict=True)
+                ),
+                f'sum {sum(costs):.3f} ms, {count / took_s:.0f}/s, {statuses}',
+                flush=True,
+            )
+        if profiled:
+            await fleet.stop()
+
+
+def start(count=3000, width=4, kind='', profiled='0') -> None:
+    """Measure requests; ``kind`` names one of the loads."""
+    loads = tuple(one for one in LOADS if kind in ('', one.name))
+    uvloop.run(measure(loads, int(count), int(width), bool(int(profiled))))
+
+
+def start_node(profiled: bool) -> None:
+    """Run a measured node in this process."""
+    hosted.logs.start_dropping_logs('node')
+    os.environ['UV_USE_IO_URING'] = '0'
+    hosted.loading.finish()
+    profile = cProfile.Profile(time.process_time) if profiled else None
+    uvloop.run(run_node(profile))
+    if profile is not None:
+        stats = pstats.Stats(profile, stream=sys.stderr)
+        stats.sort_stats('tottime').print_stats(FUNCTIONS)
+        stats.sort_stats('cumulative').print_stats(FUNCTIONS)
+
+
+if __name__ == '__main__':
+    if sys.argv[1:2] == ['node']:
+        start_node(bool(int(sys.argv[2])))
+    else:
+        lines.run_command(start)
