Count a hosted node's requests and times in plain tables between pages

aioprometheus encodes the labels as JSON for each look-up and goes through all buckets for each time, and a request is counted five times on its way. Counters and histograms now collect in dictionaries by labels and move to the collectors when the page is read.

Measured in a loop of 20,000, processor time: a counter 6.2 us before, 1.0 us after; a time 4.7 us before, 1.1 us after. So some 11 us at each of the two nodes of a request.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -1,6 +1,9 @@
 """Collectors of a hosted node and their text form."""
 
+import bisect
+
 import aioprometheus
+from aioprometheus import histogram
 from aioprometheus import renderer
 
 # Upper bounds in seconds.
@@ -19,40 +22,103 @@
 )
 
 
+class Counts:
+    """Increments of a counter until the next ``flush``.
+
+    aioprometheus encodes the labels as JSON twice for each increment, 6 us.
+    """
+
+    def __init__(self, collector: aioprometheus.Counter):
+        self._collector = collector
+        self._counts = {}
+
+    def inc(self, labels: dict[str, str]) -> None:
+        """Count one."""
+        key = tuple(labels.items())
+        self._counts[key] = self._counts.get(key, 0) + 1
+
+    def flush(self) -> None:
+        """Move the counts to the collector."""
+        counts, self._counts = self._counts, {}
+        for key, count in counts.items():
+            self._collector.add(dict(key), count)
+
+
+class Tally:
+    """Times of one set of labels: number by bound, and sum in seconds."""
+
+    __slots__ = ('counts', 'sum_s')
+
+    def __init__(self):
+        self.counts = [0] * len(TIME_BOUNDS_S)
+        self.sum_s = 0.0
+
+
+class Times:
+    """Observations of a histogram until the next ``flush``."""
+
+    def __init__(self, collector: aioprometheus.Histogram):
+        self._collector = collector
+        self._tallies = {}
+
+    def observe(self, labels: dict[str, str], seconds: float) -> None:
+        """Count one time."""
+        key = tuple(labels.items())
+        found = self._tallies.get(key)
+        if found is None:
+            found = self._tallies[key] = Tally()
+        found.counts[bisect.bisect_left(TIME_BOUNDS_S, seconds)] += 1
+        found.sum_s += seconds
+
+    def flush(self) -> None:
+        """Move the observations to the collector."""
+        tallies, self._tallies = self._tallies, {}
+        for key, tally in tallies.items():
+            self._add(dict(key), tally)
+
+    def _add(self, labels, tally: Tally) -> None:
+        try:
+            found = self._collector.get_value(labels)
+        except KeyError:
+            found = histogram.Histogram(*TIME_BOUNDS_S)
+            self._collector.set_value(labels, found)
+        # The library takes one value at a time; its counts are cumulative.
+        below = 0
+        for bound, added in zip(TIME_BOUNDS_S, tally.counts, strict=True):
+            below += added
+            found.buckets[bound] += below
+        found.observations += below
+        found.sum += tally.sum_s
+
+
 class HostedMetrics:
     """Counters, gauges and histograms, labelled by outcome and reason."""
 
     def __init__(self):
         self._registry = aioprometheus.Registry()
-        self.requests = self._add(
-            aioprometheus.Counter,
+        self._pending = []
+        self.requests = self._add_counts(
             'requests_total',
             'Requests that began here, by outcome and reason',
         )
-        self.hosted = self._add(
-            aioprometheus.Counter,
+        self.hosted = self._add_counts(
             'hosted_requests_total',
             'Requests for the target of this node, by outcome',
         )
-        self.log_calls = self._add(
-            aioprometheus.Counter,
+        self.log_calls = self._add_counts(
             'log_calls_total',
             "Calls to the platform's log by outcome",
         )
-        self.reads_dropped = self._add(
-            aioprometheus.Counter,
+        self.reads_dropped = self._add_counts(
             'log_reads_dropped_total',
             'Reads of a topic that went silent while a peer was ahead',
         )
-        self.key_moves = self._add(
-            aioprometheus.Counter,
+        self.key_moves = self._add_counts(
             'key_rows_granted_total',
             'Key ranges granted to the target after a change',
         )
         self._times = {
-            name: self._add(
-                aioprometheus.Histogram, name, text, buckets=TIME_BOUNDS_S
-            )
+            name: self._add_times(name, text)
             for name, text in (
                 ('request_seconds', 'Time to the reply, by outcome'),
                 ('queue_seconds', 'Wait for a place at the target'),
@@ -88,9 +154,25 @@
 
     def render(self) -> str:
         """Return all metrics as text."""
+        for one in self._pending:
+            one.flush()
         data, _ = renderer.render(self._registry, ['text/plain'])
         return data.decode()
 
+    def _add_counts(self, name, text) -> Counts:
+        made = Counts(self._add(aioprometheus.Counter, name, text))
+        self._pending.append(made)
+        return made
+
+    def _add_times(self, name, text) -> Times:
+        made = Times(
+            self._add(
+                aioprometheus.Histogram, name, text, buckets=TIME_BOUNDS_S
+            )
+        )
+        self._pending.append(made)
+        return made
+
     def _add(self, kind, name, text, **options):
         return kind(
             f'sesamejunction_{name}', text, registry=self._registry, **options
--- a/test/test_hostedmetrics.py
+++ b/test/test_hostedmetrics.py
@@ -81,3 +81,36 @@
     _, samples = exposed
     labels = {'outcome': outcome, 'reason': reason}
     assert (labels, count) in samples['sesamejunction_requests_total']
+
+
+# Guards against counts that are lost or shown twice when the page is read
+# again, and against a time on a bound that falls into the next bucket: name
+# of the sample, its labels, its values on three pages.
+@pytest.mark.parametrize(
+    ('name', 'labels', 'values'),
+    [
+        ('requests_total', {'outcome': 'answered'}, (2, 2, 3)),
+        ('hop_seconds_count', {}, (2, 2, 3)),
+        ('hop_seconds_sum', {}, (0.055, 0.055, 10.055)),
+        ('hop_seconds_bucket', {'le': '0.005'}, (1, 1, 1)),
+        ('hop_seconds_bucket', {'le': '0.025'}, (1, 1, 1)),
+        ('hop_seconds_bucket', {'le': '0.05'}, (2, 2, 2)),
+        ('hop_seconds_bucket', {'le': '3.2'}, (2, 2, 2)),
+        ('hop_seconds_bucket', {'le': '+Inf'}, (2, 2, 3)),
+    ],
+)
+def test_pages_go_on_counting(name, labels, values):
+    metrics = hostedmetrics.HostedMetrics()
+    pages = []
+    for page in ((0.005, 0.05), (), (10.0,)):
+        for seconds in page:
+            metrics.requests.inc({'outcome': 'answered'})
+            metrics.observe('hop_seconds', seconds)
+        pages.append(parse(metrics.render())[1])
+    found = [
+        value
+        for samples in pages
+        for known, value in samples[f'sesamejunction_{name}']
+        if known == labels
+    ]
+    assert found == pytest.approx(list(values))
