Read bodies that are at hand without a generator

A hosted answer is held whole, but went through an asynchronous generator and an exit stack at the owner node and again at the entry node. It is an object now that read_answer takes the bytes from; iterating over it still works.

--- a/sesamejunction/commands/wholes.py
+++ b/sesamejunction/commands/wholes.py
@@ -16,8 +16,34 @@
     return b''.join([chunk async for chunk in body])
 
 
+class Whole:
+    """A body at hand as one chunk of an answer, none when it is empty."""
+
+    __slots__ = ('_data',)
+
+    def __init__(self, data: bytes):
+        self._data = data
+
+    def __aiter__(self):
+        return self
+
+    async def __anext__(self) -> bytes:
+        if not self._data:
+            raise StopAsyncIteration
+        return self.take()
+
+    def take(self) -> bytes:
+        """Return what is left without a wait."""
+        data, self._data = self._data, b''
+        return data
+
+
 async def read_answer(answer: requests.Answer) -> bytes:
     """Return the whole body of an answer and end its use."""
+    if isinstance(answer.chunks, Whole):
+        # Reading it through the iterator takes longer.
+        await answer.resources.aclose()
+        return answer.chunks.take()
     async with answer.resources:
         return b''.join([chunk async for chunk in answer.chunks])
 
@@ -27,13 +53,7 @@
     return requests.Answer(
         status,
         headers,
-        iterate_once(body),
+        Whole(body),
         contextlib.AsyncExitStack(),
         load,
     )
-
-
-async def iterate_once(body: bytes):
-    """Yield a body as one chunk, nothing when it is empty."""
-    if body:
-        yield body
--- /dev/null
+++ b/test/test_wholes.py
@@ -0,0 +1,42 @@
+"""Bodies at hand are read once, whole or as chunks."""
+
+import contextlib
+
+import pytest
+
+from sesamejunction.commands import wholes
+from sesamejunction.model import requests
+
+
+async def iterate(chunks):
+    for one in chunks:
+        yield one
+
+
+# Guards against bodies that are lost or sent twice, and against resources
+# that stay open behind an answer that was read: chunks, the whole body.
+@pytest.mark.parametrize(
+    ('chunks', 'whole'),
+    [
+        pytest.param(wholes.Whole(b'one'), b'one', id='at hand'),
+        pytest.param(wholes.Whole(b''), b'', id='at hand and empty'),
+        pytest.param(iterate([b'o', b'ne']), b'one', id='arrives'),
+        pytest.param(iterate([]), b'', id='arrives and is empty'),
+    ],
+)
+async def test_answer_is_read_whole(chunks, whole):
+    closed = []
+    resources = contextlib.AsyncExitStack()
+    resources.callback(closed.append, True)
+    answer = requests.Answer(200, (), chunks, resources)
+    assert await wholes.read_answer(answer) == whole
+    assert closed == [True]
+    assert [one async for one in chunks] == []
+
+
+# Guards against an empty chunk, which ends a chunked body, and against a
+# second one: body, chunks.
+@pytest.mark.parametrize(('body', 'chunks'), [(b'one', [b'one']), (b'', [])])
+async def test_answer_at_hand_is_iterated(body, chunks):
+    answer = wholes.build_answer(200, (), body)
+    assert [one async for one in answer.chunks] == chunks
