Gather facts only for events whose rows look at them

Each of the four steps of a request that is answered gathered the six facts of the table's guards, although all rows of these events are unconditional. The set of such events is derived from the table, so a row that gets a guard takes its event out of it.

--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -74,7 +74,9 @@
         """Run the request to its end; returns Answer or Refusal."""
         event = await self._enter()
         while True:
-            facts = await self._gather_facts(event)
+            facts = attempts.NO_FACTS
+            if type(event) not in attempts.UNCONDITIONAL:
+                facts = await self._gather_facts(event)
             self._phase, action = attempts.advance(self._phase, event, facts)
             match action:
                 case attempts.Action.CHOOSE:
--- a/sesamejunction/decisions/attempts.py
+++ b/sesamejunction/decisions/attempts.py
@@ -251,6 +251,15 @@
 }
 
 
+# Events after which the facts decide nothing, so that they need not be found.
+UNCONDITIONAL = frozenset(event for _, event in TABLE) - {
+    event
+    for (_, event), rows in TABLE.items()
+    if any(row.guard is not Guard.ALWAYS for row in rows)
+}
+NO_FACTS = Facts(repeatable=False, replayable=False, may_retry=False)
+
+
 def advance(phase: Phase, event, facts: Facts) -> tuple[Phase, Action]:
     """Return the next phase and action.
 
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -282,6 +282,21 @@
     assert fault in find_faults(events, repeatable, True, 3)
 
 
+@pytest.mark.parametrize(
+    'phase',
+    [pytest.param(one, id=one.value) for one in P],
+)
+def test_unconditional_events_need_no_facts(phase):
+    # Guards against a step that is taken without facts that would change it.
+    for event in attempts.UNCONDITIONAL:
+        if (phase, event) in attempts.TABLE:
+            expected = attempts.advance(phase, event(), attempts.NO_FACTS)
+            found = {
+                attempts.advance(phase, event(), one) for one in FACTS.values()
+            }
+            assert found == {expected}, event
+
+
 # Guards against a storm of retries: (requests before, retries allowed).
 @pytest.mark.parametrize(('before', 'allowed'), [(0, 10), (100, 20)])
 def test_retry_budget(before, allowed):
