Set one timer instead of a timeout scope for tokens and replies

asyncio.timeout takes 8 us, also around a question that is answered at once. The shares task now sets a timer only for a request that has to wait for a token, with the same limit and refusal; the wait for a node's reply uses one timer on its future (call_later and cancel take 1.7 us).

--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -44,9 +44,12 @@
     """Return the reply to a request; raises PeerLost without one."""
     link, number = exchange.link, exchange.number
     left_s = exchange.head.deadline - clock.read_boot_clock()
+    # asyncio.timeout in its place takes 6 us more for each request.
+    timer = asyncio.get_running_loop().call_later(
+        max(0.0, left_s), expire_reply, exchange.reply
+    )
     try:
-        async with asyncio.timeout(max(0.0, left_s)):
-            return await exchange.reply
+        return await exchange.reply
     except TimeoutError as error:
         link.send_frame(linking.Cancel(number))
         raise errors.PeerLost(
@@ -56,9 +59,16 @@
         link.send_frame(linking.Cancel(number))
         raise
     finally:
+        timer.cancel()
         link.end_exchange(number)
 
 
+def expire_reply(reply: asyncio.Future) -> None:
+    """End the wait for a reply whose time has passed."""
+    if not reply.done():
+        reply.set_exception(TimeoutError())
+
+
 class Links:
     """Sends work and questions to other members.
 
--- a/sesamejunction/tasks/shares.py
+++ b/sesamejunction/tasks/shares.py
@@ -86,23 +86,6 @@
         )
         return SharesDump(self._admitted, self._refused, self._waited, purses)
 
-    async def ask(self, message):
-        """Return the reply; Spend may wait for the next grant."""
-        if not isinstance(message, sharing.Spend):
-            return await super().ask(message)
-        asked_at = clock.read_boot_clock()
-        left_s = message.deadline - asked_at
-        if left_s <= 0:
-            return await super().ask(message)
-        try:
-            async with asyncio.timeout(
-                min(holding.WAIT_S, left_s * WAIT_PART)
-            ):
-                return await super().ask(message)
-        except TimeoutError:
-            waited_s = round(clock.read_boot_clock() - asked_at, 3)
-            return sharing.OverRate(RETRY_AFTER_S, (('waited_s', waited_s),))
-
     async def run(self) -> None:
         """Handle messages until cancelled."""
         try:
@@ -169,12 +152,25 @@
         if message.deadline <= now or not self._holder.may_wait(name, now):
             self._refused += 1
             return self._refuse(name, now)
-        waiter = asyncio.get_running_loop().create_future()
+        waiter = self._create_waiter(message.deadline, now)
         self._waiting[name].append(waiter)
         self._holder.purses[name].waiting += 1
         self._ask_for(name, now)
         return waiter
 
+    def _create_waiter(self, deadline: float, now: float) -> asyncio.Future:
+        """Return the future of a reply that is a refusal after a time.
+
+        Only requests that wait need a timer; a limit around each question
+        takes 8 us.
+        """
+        loop = asyncio.get_running_loop()
+        waiter = loop.create_future()
+        limit_s = min(holding.WAIT_S, (deadline - now) * WAIT_PART)
+        timer = loop.call_later(limit_s, _end_wait, waiter, now)
+        waiter.add_done_callback(lambda _: timer.cancel())
+        return waiter
+
     def _refuse(self, name: str, now: float) -> sharing.OverRate:
         return sharing.OverRate(
             RETRY_AFTER_S, self._holder.list_inputs(name, now)
@@ -243,3 +239,12 @@
             for waiter in self._waiting.pop(name):
                 if not waiter.done():
                     waiter.set_result(sharing.OverRate(RETRY_AFTER_S))
+
+
+def _end_wait(waiter: asyncio.Future, since: float) -> None:
+    """Refuse a request that has waited for a token as long as it may."""
+    if not waiter.done():
+        waited_s = round(clock.read_boot_clock() - since, 3)
+        waiter.set_result(
+            sharing.OverRate(RETRY_AFTER_S, (('waited_s', waited_s),))
+        )
--- a/test/test_sharetasks.py
+++ b/test/test_sharetasks.py
@@ -111,6 +111,32 @@
         assert owners.entered == 0
 
 
+# Guards against requests that wait for a token until nothing is left of their
+# deadline, and against a wait that has ended and is counted as one that goes
+# on: seconds of deadline, (least, most) seconds of wait.
+@pytest.mark.parametrize(
+    ('deadline_s', 'within'),
+    [
+        pytest.param(
+            2.0, (holding.WAIT_S - 0.01, holding.WAIT_S + 0.15), id='limit'
+        ),
+        pytest.param(0.2, (0.09, 0.19), id='half of the deadline'),
+    ],
+)
+async def test_wait_for_a_token_ends(deadline_s, within):
+    async with run_nodes(make_state(1000.0, 100.0), -1.0) as (network, _):
+        await asyncio.sleep(0.15)
+        started = clock.read_boot_clock()
+        reply = await spend(network[2], deadline_s)
+        taken_s = clock.read_boot_clock() - started
+        assert isinstance(reply, sharing.OverRate)
+        assert within[0] <= dict(reply.inputs)['waited_s'] <= within[1]
+        assert within[0] <= taken_s <= within[1]
+        await asyncio.sleep(shares.TICK_S * 2)
+        (purse,) = network[2].dump().purses
+        assert purse.waiting == 0
+
+
 async def test_empty_bucket_refuses_at_once():
     # Guards against requests over the rate that wait and then take the
     # tokens of later ones, which are within it.
