Print what nodes logged in the test of hot keys, list its failure

The design sends it back to the order that its fixed slot has at that time, so a slot that moved meanwhile explains it, but no logs were kept that say so. The test prints the lines of slots, leases and plans from its start; the check is the same.

--- a/test/process/judge.py
+++ b/test/process/judge.py
@@ -76,12 +76,12 @@
 
 
 def print_lines(fleet, names, since) -> None:
-    """Print what nodes have logged of slots and leases since a time."""
+    """Print what nodes logged of slots, leases and plans since a time."""
     for name in names:
         for line in harness.read_log(fleet, name):
             if line['timestamp'] >= since and line.get(
                 'message_type', ''
-            ).startswith(('owner: ', 'lease: ', 'node: ')):
+            ).startswith(('owner: ', 'lease: ', 'node: ', 'plan: ')):
                 print(name, line)
 
 
--- a/test/process/test_hotkeys.py
+++ b/test/process/test_hotkeys.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import itertools
+import time
 
 import pytest
 import pytest_asyncio
@@ -150,7 +151,10 @@
             harness.start_fleet(LAYOUT, declared, cold_slots=12)
         )
         keys = choose_keys(await judge.wait_settled(running))
-        began = load.read_clock()
+        began, since = load.read_clock(), time.time()
+        # The cause of a third owner or a late return: a node that lost its
+        # lease, or a plan that moved the fixed slot.
+        stack.callback(judge.print_lines, running.fleet, running.spots, since)
         results = []
         async with make_plain_load(running) as plain, asyncio.timeout(LIMIT_S):
             runs = await asyncio.gather(
