Wait at the end of a planned stop for answers that other nodes have not read

A node that stopped counted a request as finished while most of its answer was unsent, and ended: the caller got 502 although the answer was ready.

--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -98,6 +98,13 @@
             case _:
                 self._start(frame.id, self._answer(frame), True)
 
+    @property
+    def buffered(self) -> int:
+        """Return the bytes that the other node has not taken yet."""
+        if self.transport.is_closing():
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def end_use(self) -> None:
         """Ask the other node to send nothing new and to close."""
         if not self._has_parted:
@@ -187,15 +194,20 @@
     )
 
 
-async def end_connections(ports: ServerPorts, limit_s=FAREWELL_S) -> None:
+async def end_connections(ports: ServerPorts, ends: float) -> None:
     """Let other nodes close their connections; work is answered meanwhile.
 
     What they have sent to a connection that this node closes would be lost,
-    and they could not tell that it has not run.
+    and they could not tell that it has not run. Connections with unsent
+    answers are waited for until ``ends``, on the loop's clock, or for
+    FAREWELL_S if that is later.
     """
     loop = asyncio.get_running_loop()
-    ends = loop.time() + limit_s
-    while ports.connections and loop.time() < ends:
+    farewell = loop.time() + FAREWELL_S
+    while ports.connections and loop.time() < max(ends, farewell):
+        is_sent = not any(one.buffered for one in ports.connections)
+        if is_sent and loop.time() >= farewell:
+            return
         for one in ports.connections:
             one.end_use()
         await asyncio.sleep(CHECK_S)
--- a/sesamejunction/ui/hostednode.py
+++ b/sesamejunction/ui/hostednode.py
@@ -98,7 +98,7 @@
         # A caller that still comes is refused a connection, so nothing runs.
         for site in self._callers_sites:
             await site.stop()
-        await parts.leave_peers()
+        await parts.leave_peers(ends)
         # Callers may have come meanwhile on connections that they had.
         await self._await_end_of_work(ends)
         eliot.log_message('node: stopped', cut=parts.count_open())
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -294,13 +294,11 @@
             self._bodies,
             self._vitals.traffic,
         )
-        self._listener = (
-            listener
-        ) = await asyncio.get_running_loop().create_server(
+        self._listener = await asyncio.get_running_loop().create_server(
             lambda: linkserver.LinkServer(ports),
             sock=pools.bind_listener(self._host, self._settings.peer_port),
         )
-        self._stack.callback(listener.close)
+        self._stack.callback(self._listener.close)
 
     def _list_readers(self) -> tuple:
         """Return the tasks that act on the fleet's state."""
@@ -352,10 +350,10 @@
         """
         self._scheduler.tell(gating.StopAdmitting())
 
-    async def leave_peers(self) -> None:
+    async def leave_peers(self, ends: float) -> None:
         """Let other nodes close their connections to this one."""
         self._listener.close()
-        await linkserver.end_connections(self._peer_ports)
+        await linkserver.end_connections(self._peer_ports, ends)
 
     def count_open(self) -> int:
         """Return the requests that still run here."""
--- a/standins/keyserver.py
+++ b/standins/keyserver.py
@@ -28,6 +28,7 @@
         self._freed = []
         self._stack = contextlib.AsyncExitStack()
         self.work_s = 0.002
+        self.answer = b'whole'
         # Requests whose connection was closed while they ran.
         self.cut = 0
         self.holds = []
@@ -65,7 +66,7 @@
         if request.transport is None or request.transport.is_closing():
             self.cut += 1
         headers['X-Response-Signature'] = 'signed'
-        return web.Response(body=b'whole', headers=headers)
+        return web.Response(body=self.answer, headers=headers)
 
     def is_held(self, key: int) -> bool:
         """Return whether the key is held now."""
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -46,6 +46,16 @@
             'service': 'orders',
             'maxAttempts': 2,
         },
+        {
+            'name': 'report',
+            'host': 'shop.example',
+            'pathPrefix': '/report/',
+            'kind': 'non_idempotent',
+            'timeoutS': 4.0,
+            'targetLatencyS': 0.2,
+            'service': 'orders',
+            'maxAttempts': 2,
+        },
     ],
     'services': [
         {'name': 'lookup', 'sharded': True},
@@ -293,7 +303,9 @@
                 f'http://{machine.address("callers")}{path}',
                 headers=headers,
                 data=body,
-                timeout=aiohttp.ClientTimeout(total=3),
+                timeout=aiohttp.ClientTimeout(
+                    total=max(3, deadline_ms / 1000 + 1)
+                ),
             ) as reply:
                 return reply.status, await reply.read()
         except aiohttp.ClientError:
@@ -507,6 +519,45 @@
         assert one.process.returncode == 0
 
 
+# A node that stops ends after 2.3 s. The caller's node is paused from before
+# the answer until after that.
+LONG_WORK_S = 1.8
+READING_STOPS_S = 1.3
+# More than the buffers of a connection on one machine take.
+LARGE_BYTES = 15_000_000
+
+
+async def test_planned_stop_delivers_large_answers():
+    """A node ends only when other nodes have read its answers.
+
+    Guards against a node that counts a request as finished while most of
+    its answer is unsent, and ends. The caller's node reads nothing for the
+    time in which the stop ends otherwise.
+    """
+    async with Fleet() as fleet:
+        caller, owner = fleet.machines[0], fleet.machines[3]
+        assert (await fleet.call(caller, '/order/1', method='POST'))[0] == 200
+        owner.server.work_s = LONG_WORK_S
+        owner.server.answer = bytes(LARGE_BYTES)
+        stopped_at = time.time()
+        call = asyncio.ensure_future(
+            fleet.call(caller, '/report/1', method='POST', deadline_ms=4000)
+        )
+        await asyncio.sleep(PAUSE_AT_S)
+        stop = asyncio.ensure_future(owner.end(signal.SIGTERM))
+        await asyncio.sleep(READING_STOPS_S)
+        caller.process.send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(PAUSED_S)
+        finally:
+            caller.process.send_signal(signal.SIGCONT)
+        status, body = await call
+        await stop
+        fleet.print_plans(stopped_at)
+        assert (status, len(body)) == (200, LARGE_BYTES)
+        assert owner.process.returncode == 0
+
+
 # Times at which a node behind which a request runs is paused and continued.
 # The pause is longer than the 0.8 s after which a connection is silent, and
 # shorter than the 1.5 s after which a member is.
--- a/test/test_stop.py
+++ b/test/test_stop.py
@@ -23,7 +23,7 @@
     def finish_work(self):
         self._begin('finish')
 
-    async def leave_peers(self):
+    async def leave_peers(self, _ends):
         self._begin('leave')
 
     def count_open(self):
