Spread the allocators of shares over the availability zones

The planner gives the places to the members with the fewest, by name. With all members registered the first four names are those of one zone: side-recife-a-1, a-10, a-11 and a-12. Three of their machines were replaced or lost in the first seconds, and a zone that is lost takes all of them.

Places go to the zones that have the fewest now. test_rangeplanning fails in three rows before: ['a', 'a', 'a', 'a'] in place of ['a', 'b', 'c', 'a'].

--- a/sesamejunction/decisions/rangeplanning.py
+++ b/sesamejunction/decisions/rangeplanning.py
@@ -1,5 +1,6 @@
 """Plans which target owns which keys of a service divided by ranges."""
 
+import collections
 import dataclasses
 
 from sesamejunction.model import ranges
@@ -323,27 +324,34 @@
     """Return who hands out shares, keeping what can stay.
 
     A later process of the same node takes the place of an earlier one; other
-    places go to the candidates that have the fewest. Returns None when there
-    is no candidate.
+    places go to the candidates that have the fewest, in the availability
+    zones that have the fewest, so that the loss of a zone leaves allocators.
+    Returns None when there is no candidate.
     """
     if not candidates:
         return None
     able = {one.incarnation for one in candidates}
     by_name = {one.name: one for one in candidates}
-    had = dict.fromkeys(able, 0)
+    zones = {one.incarnation: one.zone for one in candidates}
+    had = collections.Counter()
     places = list(present.places) if present else [None] * count
     for one in places:
         if one is not None and one.member in able:
-            had[one.member] += 1
+            had.update((one.member, zones[one.member]))
     for number, one in enumerate(places):
         if one is not None and one.member in able:
             continue
         heir = by_name.get(one.name) if one else None
         if heir is None:
             heir = min(
-                candidates, key=lambda two: (had[two.incarnation], two.name)
+                candidates,
+                key=lambda two: (
+                    had[two.incarnation],
+                    had[two.zone],
+                    two.name,
+                ),
             )
-        had[heir.incarnation] += 1
+        had.update((heir.incarnation, heir.zone))
         previous = ()
         if one is not None:
             earlier = one.previous if is_fresh(one) else ()
--- a/test/test_rangeplanning.py
+++ b/test/test_rangeplanning.py
@@ -194,8 +194,8 @@
             assert one.previous == (LIVES[0],)
 
 
-def make_member(name, incarnation):
-    return state.Member(incarnation, name, 'z', 'h', 1, 1, 1, 's', 4, 4, True)
+def make_member(name, incarnation, zone='z'):
+    return state.Member(incarnation, name, zone, 'h', 1, 1, 1, 's', 4, 4, True)
 
 
 MEMBERS = [make_member(f'node-{one}', 10 + one) for one in range(3)]
@@ -231,3 +231,42 @@
     assert [
         (one.member, one.epoch, one.previous) for one in chosen.places
     ] == expected
+
+
+FLEET = [
+    make_member(
+        f'{zone}-{number}', 10 * (1 + 'abc'.index(zone)) + number, zone
+    )
+    for zone in 'abc'
+    for number in range(1, 5)
+]
+# Zones of the present allocators, None for a lost one, and of all after it.
+SPREADS = {
+    'first': ([], ['a', 'b', 'c', 'a']),
+    'one lost': (['a', None, 'c', 'a'], ['a', 'b', 'c', 'a']),
+    'all in one zone before': (['a', 'a', None, None], ['a', 'a', 'b', 'c']),
+}
+
+
+@pytest.mark.parametrize(('before', 'after'), SPREADS.values(), ids=SPREADS)
+def test_allocators_are_spread_over_zones(before, after):
+    # Guards against organisations that are refused as over their rate for ten
+    # seconds, since all allocators stood in the zone that was lost.
+    kept = {}
+    places = []
+    for zone in before:
+        place = state.AllocatorPlace(99, 'gone', 4)
+        if zone is not None:
+            kept[zone] = kept.get(zone, 0) + 1
+            one = next(
+                one for one in FLEET if one.name == f'{zone}-{kept[zone]}'
+            )
+            place = state.AllocatorPlace(one.incarnation, one.name, 4)
+        places.append(place)
+    present = state.Allocators(tuple(places)) if places else None
+    chosen = rangeplanning.choose_allocators(
+        FLEET, present, 4, 9, lambda one: False
+    )
+    zones = {one.incarnation: one.zone for one in FLEET}
+    assert [zones[one.member] for one in chosen.places] == after
+    assert len({one.member for one in chosen.places}) == 4
