--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -89,7 +89,9 @@
 class Links:
     """Sends work and questions to other members.
 
-    ``serve`` handles work for this node itself, without a connection.
+    ``host_request`` runs work for the target beside this node, and ``local``
+    answers its questions, without a connection. Both are set once the parts
+    that they need are built.
     """
 
     def __init__(self, incarnation: int, host: str, metrics, vitals):
@@ -283,10 +285,3 @@
         # The reason has been given to those that wait; nobody may be left.
         if not done.cancelled():
             done.exception()
-
-    def keep_only(self, members) -> None:
-        """Close the connections to members that no longer exist."""
-        for key in [one for one in self._links if one[0] not in members]:
-            link = self._links.pop(key)
-            if link.transport is not None:
-                link.transport.close()
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -17,8 +17,8 @@
 # last answer, of up to 250,000 bytes at 5 Mbit/s, is there.
 FAREWELL_S = 0.5
 CHECK_S = 0.01
-# A new process of a node is known to all others in about this time.
-STALE_RETRY_S = 0.1
+# Others know in about this time that a node has ended or started anew.
+RETRY_AFTER_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -189,7 +189,7 @@
         code.value,
         requests.Outcome.NOT_RUN.value,
         f'{reason}; retry',
-        STALE_RETRY_S,
+        RETRY_AFTER_S,
         None,
     )
 
