Refuse callers of a stopping node once they had time to leave

Cause: callers who have no other node to go to keep sending, so a stopping node never had a moment without an open request and went on to its limit of 5 s. The wait for other nodes to close their connections then took up to 0.5 s more, and the platform killed the process while it closed.

The wait for other nodes ends with the limit of the stop.

test_callers_are_refused_once_they_had_time_to_leave fails without it.

--- a/sesamejunction/platform/front.py
+++ b/sesamejunction/platform/front.py
@@ -24,6 +24,8 @@
 # Time left for the answer to reach the caller before its deadline.
 REPLY_MARGIN_S = 0.01
 RETRY_AFTER_S = 0.2
+# A node that is restarted serves again in about this time.
+RESTART_S = 1.0
 KEEP_ALIVE_S = 75.0
 
 # Statuses 429 and 503 promise that the request has not run.
@@ -62,6 +64,7 @@
         self._context = context
         self._numbers = itertools.count(1)
         self.stopping = False
+        self.refusing = False
         self.open = 0
 
     def build_server(self) -> web.Server:
@@ -97,6 +100,8 @@
 
     async def _handle(self, request):
         context = self._context
+        if self.refusing:
+            raise Refused(503, 'the node stops; come back', RESTART_S)
         started = context.ports.clock()
         current = context.ports.states.current
         route = self._find_route(current, request)
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -199,12 +199,12 @@
 
     What they have sent to a connection that this node closes would be lost,
     and they could not tell that it has not run. Connections with unsent
-    answers are waited for until ``ends``, on the loop's clock, or for
-    FAREWELL_S if that is later.
+    answers are waited for until ``ends``, on the loop's clock. The
+    process is killed soon after that time, so nothing is waited for then.
     """
     loop = asyncio.get_running_loop()
     farewell = loop.time() + FAREWELL_S
-    while ports.connections and loop.time() < max(ends, farewell):
+    while ports.connections and loop.time() < ends:
         is_sent = not any(one.buffered for one in ports.connections)
         if is_sent and loop.time() >= farewell:
             return
--- a/sesamejunction/ui/hostedparts.py
+++ b/sesamejunction/ui/hostedparts.py
@@ -344,10 +344,13 @@
         self._lease.tell(leasing.StopNode())
 
     def finish_work(self) -> None:
-        """Refuse new work at the target, so that what runs there can end.
+        """Refuse new work here and at the target, so that what runs can end.
+
+        Callers have left by now, unless they have no other node to go to.
 
         Nodes that forward requests send them until this node is gone.
         """
+        self.front.refusing = True
         self._scheduler.tell(gating.StopAdmitting())
 
     async def leave_peers(self, ends: float) -> None:
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -546,7 +546,8 @@
     async def stop():
         await asyncio.sleep(0.1)
         server.close()
-        await linkserver.end_connections(ports, 0.0)
+        ends = asyncio.get_running_loop().time() + linkserver.FAREWELL_S
+        await linkserver.end_connections(ports, ends)
         for one in list(ports.connections):
             one.transport.abort()
 
--- a/test/test_stop.py
+++ b/test/test_stop.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from sesamejunction.model import state
+from sesamejunction.platform import front
 from sesamejunction.ui import hostednode
 
 STEP_S = 0.05
@@ -70,3 +72,29 @@
     await process._stop()
     assert parts.open == cut
     assert site.stopped
+
+
+# Guards against a stopping node that goes on taking requests of callers who
+# have no other node to go to: it never has a moment without one, and cuts the
+# last of them when the platform kills it.
+@pytest.mark.parametrize('refusing', [False, True])
+async def test_callers_are_refused_once_they_had_time_to_leave(refusing):
+    asked = []
+
+    class States:
+        @property
+        def current(self):
+            asked.append(1)
+            return state.State()
+
+    ports = types.SimpleNamespace(
+        clock=lambda: 0.0,
+        states=States(),
+    )
+    one = front.Front(front.Context(ports, None, 's', None))
+    one.refusing = refusing
+    with pytest.raises(front.Refused) as refused:
+        await one._handle(types.SimpleNamespace(headers={}))
+    assert refused.value.status == 503
+    assert refused.value.retry_after_s > 0
+    assert bool(asked) is not refusing
