Limit the retries of each service over all nodes

Cause: a node had one budget for all services, with ten retries whatever the number of nodes, full after each start, and a memory longer than the window of the limit; the limits of the settings were read nowhere. A retry after the target's own 421 for a request of one key was free. Calls of repeated runs counted as new requests.

Each node keeps a token bucket for each service whose sum over all nodes stays below the limit in every window, without messages. All attempts after one that may have reached a target are charged, and calls of the target in the share of repeats among its runs.

--- a/sesamejunction/border/hostedsettings.py
+++ b/sesamejunction/border/hostedsettings.py
@@ -84,6 +84,11 @@
         description='speed of the line of the instance, in Mbit/s; 0 when'
         ' unknown',
     )
+    bounds: str = pydantic.Field(
+        default='',
+        description='limits of the platform, as NAME=VALUE separated by'
+        ' commas; defaults apply to limits that are not listed',
+    )
     stop_limit_s: float = pydantic.Field(
         default=5.0,
         ge=1,
--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -18,12 +18,16 @@
     ``number`` identifies the exchange on the link; ``now`` is in boot-clock
     seconds.
     """
-    return linking.Work(*_list_head_fields(number, head, now), body)
+    return linking.Work(
+        *_list_head_fields(number, head, now), body, head.repeat_share
+    )
 
 
 def encode_offer(number, head, size, now) -> linking.WorkOffer:
     """Return the frame that announces a request body of ``size`` bytes."""
-    return linking.WorkOffer(*_list_head_fields(number, head, now), size)
+    return linking.WorkOffer(
+        *_list_head_fields(number, head, now), size, head.repeat_share
+    )
 
 
 def _list_head_fields(number, head, now) -> tuple:
@@ -49,7 +53,9 @@
     )
 
 
-def decode_work(frame: linking.WorkHead, now: float) -> requests.Head:
+def decode_work(
+    frame: linking.Work | linking.WorkOffer, now: float
+) -> requests.Head:
     """Return the head of a request, with times on this node's boot clock."""
     return requests.Head(
         request_id=frame.request_id,
@@ -66,6 +72,7 @@
         rank=frame.rank,
         objective=now + frame.objective_ms / 1000,
         caller_service=frame.caller_service,
+        repeat_share=frame.repeat_share,
     )
 
 
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -1,6 +1,7 @@
 """Runs a request at the local target of a hosted node."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 from sesamejunction.commands import ports as porting
@@ -21,6 +22,35 @@
 MAX_CONSECUTIVE_MISSES = 2
 
 
+class OpenRuns:
+    """Requests that are at the target, and how many of them are repeats."""
+
+    def __init__(self):
+        self._count = 0
+        self._repeats = 0.0
+
+    @property
+    def repeat_share(self) -> float:
+        """Return the probability that one of them exists due to a retry.
+
+        It is also that of a call which the target makes now.
+        """
+        if not self._count:
+            return 0.0
+        return min(1.0, max(0.0, self._repeats / self._count))
+
+    @contextlib.contextmanager
+    def include(self, head: requests.Head):
+        """Count the request until the context ends."""
+        self._count += 1
+        self._repeats += head.repeat_share
+        try:
+            yield
+        finally:
+            self._count -= 1
+            self._repeats -= head.repeat_share
+
+
 @dataclasses.dataclass(slots=True)
 class Ports:
     """Dependencies, and ``misses``, the count of consecutive missing answers.
@@ -38,6 +68,7 @@
     metrics: object
     clock: object
     misses: int = 0
+    open_runs: OpenRuns = dataclasses.field(default_factory=OpenRuns)
 
 
 async def host_request(
@@ -110,7 +141,8 @@
             refusal = find_key_refusal(ports, head)
         if refusal is not None:
             return dataclasses.replace(refusal, load=ports.scheduler.load)
-        return await _send(ports, head, body, report)
+        with ports.open_runs.include(head):
+            return await _send(ports, head, body, report)
     finally:
         ports.scheduler.tell_reliably(
             gating.WorkFinished(head.request_id, report.taken_s, report.shed)
--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -224,13 +224,17 @@
             return False
         if self._ports.clock() >= self._head.deadline:
             return False
-        if isinstance(event, attempts.Declined) and self._keyed:
+        if (
+            isinstance(event, attempts.Declined)
+            and self._keyed
+            and not self._targets_reached
+        ):
             # Following a moved slot adds no load on targets; the pauses, the
             # number of attempts and the deadline bound it.
             return True
         # An attempt that may have run has used its token. If the next attempt
         # took none, targets could run more requests than the organisation's
-        # rate allows, by up to attempts.RETRY_FRACTION.
+        # rate allows, by as many as the retry budget does.
         match event:
             case attempts.Late() | attempts.Silent():
                 return await self._may_hedge(event)
@@ -242,7 +246,7 @@
                 return await self._may_resend(event)
 
     async def _take_retry(self, event) -> bool:
-        """Take a retry from the node's budget."""
+        """Take a retry from the service's budget at this node."""
         return await self._ports.chooser.ask(
             choosing.TakeRetry(
                 self._head.request_id,
@@ -252,7 +256,7 @@
         )
 
     async def _take_retry_and_token(self, event, token_by: float) -> bool:
-        """Take a retry from the node's budget and a rate token.
+        """Take a retry from the service's budget and a rate token.
 
         Waits for the token until ``token_by`` at most; 0 does not wait.
         """
@@ -385,9 +389,11 @@
         self._attempt_count += 1
         incarnation = self._candidate.member.incarnation
         self._tried = (*self._tried, incarnation)
+        is_repeat = self._targets_reached or self._attempts.count_open()
         head = dataclasses.replace(
             self._head,
             request_id=f'{self._head.request_id}.{self._attempt_count}',
+            repeat_share=1.0 if is_repeat else self._head.repeat_share,
         )
         self._attempts.start_attempt(self._candidate, head)
 
@@ -404,7 +410,11 @@
     def _record_result(self, result: requestattempts.AttemptResult):
         if isinstance(result.event, attempts.Lost) or (
             isinstance(result.reply, requests.Refusal)
-            and result.reply.code is requests.Code.SHED
+            and (
+                result.reply.reached_target
+                # Nodes of earlier versions and plain targets send no mark.
+                or result.reply.code is requests.Code.SHED
+            )
         ):
             self._targets_reached += 1
         if isinstance(result.event, attempts.NotConnected):
--- a/sesamejunction/decisions/attempts.py
+++ b/sesamejunction/decisions/attempts.py
@@ -1,18 +1,10 @@
-"""State machine of one request over all its attempts, with retry budget."""
+"""State machine of one request over all its attempts."""
 
 import dataclasses
 import enum
-import math
 
 from sesamejunction.model import requests
 
-# Retry budget: this fraction of the recent requests, plus a fixed number so
-# that a node with little traffic can retry at all.
-RETRY_FRACTION = 0.1
-EXTRA_RETRIES = 10.0
-# Counts of recent requests and retries are halved over this time.
-BUDGET_HALF_LIFE_S = 10.0
-
 
 class Phase(enum.Enum):
     """State of a request; CUT means that its answer was incomplete."""
@@ -295,38 +287,3 @@
         if is_met(transition.guard, inputs):
             return transition.phase, transition.action
     raise KeyError((phase, type(event)))
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RetryBudget:
-    """Recent requests and retries of a node, decayed to the time ``at``."""
-
-    requests: float = 0.0
-    retries: float = 0.0
-    at: float = 0.0
-
-
-def count_request(budget: RetryBudget, now: float) -> RetryBudget:
-    """Return the budget after one more request."""
-    decay = _compute_decay(budget, now)
-    return RetryBudget(
-        budget.requests * decay + 1, budget.retries * decay, now
-    )
-
-
-def take_retry(budget: RetryBudget, now: float) -> tuple[RetryBudget, bool]:
-    """Return the budget and whether it allows one retry now.
-
-    An allowed retry is counted in the returned budget.
-    """
-    decay = _compute_decay(budget, now)
-    recent_retries = budget.retries * decay
-    recent_requests = budget.requests * decay
-    allowed = (
-        recent_retries + 1 <= recent_requests * RETRY_FRACTION + EXTRA_RETRIES
-    )
-    return RetryBudget(recent_requests, recent_retries + allowed, now), allowed
-
-
-def _compute_decay(budget, now):
-    return math.exp2(-max(0.0, now - budget.at) / BUDGET_HALF_LIFE_S)
--- a/sesamejunction/decisions/retrybudget.py
+++ b/sesamejunction/decisions/retrybudget.py
@@ -46,6 +46,9 @@
     fixed: float = 60.0
 
 
+DEFAULT_LIMITS = Limits()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryBudget:
     """Credit for retries, and the requests counted in the last window.
@@ -79,15 +82,22 @@
 
 
 def take_retry(
-    budget: RetryBudget, limits: Limits, members: int, now: float
+    budget: RetryBudget,
+    limits: Limits,
+    members: int,
+    now: float,
+    reserved: float = 0.0,
 ) -> tuple[RetryBudget, bool]:
     """Return the budget and whether it allows one retry now.
 
-    An allowed retry is taken from the credit.
+    An allowed retry is taken from the credit. ``reserved`` is the part of
+    what the credit holds for recent requests that must remain for other
+    retries.
     """
     counts = _shift_counts(budget, limits, now)
     budget = _refresh(budget, limits, members, now, counts)
-    if budget.credit < 1:
+    kept = reserved * _find_carried(limits, counts)
+    if budget.credit < 1 + kept:
         return budget, False
     return dataclasses.replace(budget, credit=budget.credit - 1), True
 
@@ -129,7 +139,12 @@
 
 def _find_capacity(limits, members, counts) -> float:
     share = FIXED * limits.fixed / members if members > 0 else 0.0
-    return share + CARRIED * limits.ratio * sum(counts)
+    return share + _find_carried(limits, counts)
+
+
+def _find_carried(limits, counts) -> float:
+    """Return the highest credit for the requests of the last window."""
+    return CARRIED * limits.ratio * sum(counts)
 
 
 def _find_slot(limits, now) -> int:
--- a/sesamejunction/model/choosing.py
+++ b/sesamejunction/model/choosing.py
@@ -12,7 +12,7 @@
 
     ``tried`` lists incarnations that must not be chosen again. ``owner`` is
     the ``host:port`` named by a NOT_OWNER refusal. ``first`` is set for the
-    first attempt of a request, which adds to the retry budget.
+    first attempt of a request, which adds to its service's retry budget.
     """
 
     head: requests.Head
@@ -53,7 +53,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TakeRetry:
-    """Takes one retry from the node's retry budget; the reply is a bool."""
+    """Takes one retry from the budget of a service; the reply is a bool."""
 
     request_id: str
     service: str
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -48,9 +48,13 @@
 
 
 class Work(WorkHead, tag=2):
-    """A request with its body."""
+    """A request with its body.
+
+    ``repeat_share`` as in requests.Head; earlier versions do not send it.
+    """
 
     body: bytes
+    repeat_share: float = 0.0
 
 
 class WorkAnswer(Frame, tag=3):
@@ -140,9 +144,11 @@
 
     It has its own tag so that a node of an earlier version closes the
     connection instead of running the request without a body.
+    ``repeat_share`` as in Work.
     """
 
     size: int
+    repeat_share: float = 0.0
 
 
 class AskPart(Frame, tag=16):
--- a/sesamejunction/model/requests.py
+++ b/sesamejunction/model/requests.py
@@ -52,7 +52,10 @@
     Rank 0 has the highest priority at a busy target. ``objective`` is the
     boot-clock time of the latency objective. ``max_targets`` limits the
     targets that the request may be sent to. ``caller_service`` is the
-    service of the machine that the request came from.
+    service of the machine that the request came from. ``repeat_share`` is the
+    probability that the request exists only because of a retry: 1 for a
+    further attempt, less for a call that a target may have made while it ran
+    one.
     """
 
     request_id: str
@@ -70,6 +73,7 @@
     objective: float = math.inf
     max_targets: int | None = None
     caller_service: str = ''
+    repeat_share: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from sesamejunction.commands import hosting
 from sesamejunction.commands import requests as commands
 from sesamejunction.commands import uploads
 from sesamejunction.commands import wholebodies
@@ -41,14 +42,15 @@
     """What the front end needs of other parts of the node.
 
     ``declared`` tells when the declarations were last known to be current.
-    ``service`` is that of the target on this instance. ``audit`` records
-    outcomes and refusals.
+    ``service`` is that of the target on this instance, ``open_runs`` its
+    present work. ``audit`` records outcomes and refusals.
     """
 
     ports: commands.Ports
     declared: object
     service: str
     audit: object
+    open_runs: hosting.OpenRuns
 
 
 class RequestRefused(Exception):
@@ -201,8 +203,19 @@
             objective=now + route.objective_s,
             max_targets=route.attempts,
             caller_service=self._context.service,
+            repeat_share=self._find_repeat_share(route, request),
         )
 
+    def _find_repeat_share(self, route, request) -> float:
+        """Return the probability that a retry has caused the request.
+
+        Calls that the target makes while it runs a request carry no caller
+        key, and come from the same address as requests of callers.
+        """
+        if route.is_open and headernames.AUTHORIZATION not in request.headers:
+            return self._context.open_runs.repeat_share
+        return 0.0
+
     async def _read_body(self, request, head, current) -> bytes:
         if not request.body_exists:
             return b''
--- a/sesamejunction/tasks/chooser.py
+++ b/sesamejunction/tasks/chooser.py
@@ -5,8 +5,8 @@
 from hdrh import histogram
 
 from sesamejunction.border import logs
-from sesamejunction.decisions import attempts
 from sesamejunction.decisions import loadbalancing
+from sesamejunction.decisions import retrybudget
 from sesamejunction.model import choosing
 from sesamejunction.model import journaling
 from sesamejunction.model import owning
@@ -25,6 +25,9 @@
 SAMPLES_PER_PERCENTILE = 64
 # With a shorter hedging delay the second attempt costs more than it saves.
 MIN_HEDGE_DELAY_S = 0.002
+# Part of the credit that retries of a reason leave to others. A hedged attempt
+# only shortens the wait for an answer that may still come.
+RESERVED_CREDIT = {choosing.RetryReason.LATE: 0.5}
 
 
 class Latencies:
@@ -58,10 +61,11 @@
 class Chooser(actor.Actor):
     """Chooses the owner or the least loaded target for each attempt.
 
-    It also holds the retry budget, and the latency percentiles that set the
-    delay of hedged attempts. Results of attempts update the statistics of
-    the targets. ``count_retry`` is called with the labels of each retry that
-    was allowed or denied.
+    It also holds the retry budget of each service, and the latency
+    percentiles that set the delay of hedged attempts. Results of attempts
+    update the statistics of the targets. ``count_retry`` is called with the
+    labels of each retry that was allowed or denied. ``retry_limits`` are the
+    operators' limits for the whole fleet.
     """
 
     name = 'chooser'
@@ -72,6 +76,7 @@
         zone: str,
         draw=random.randrange,
         count_retry=lambda labels: None,
+        retry_limits: retrybudget.Limits = retrybudget.DEFAULT_LIMITS,
     ):
         super().__init__()
         self._incarnation = incarnation
@@ -82,7 +87,8 @@
         self._silent = frozenset()
         self._target_stats = {}
         self._latencies = {}
-        self._budget = attempts.RetryBudget()
+        self._budgets = {}
+        self._retry_limits = retry_limits
         self._count_retry = count_retry
         self._logger = logs.ThrottledLogger()
 
@@ -102,9 +108,37 @@
             case owning.MembersSilent(incarnations=silent):
                 self._silent = silent
 
+    def _find_budget(self, service, now) -> retrybudget.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = retrybudget.open_budget(self._retry_limits, now)
+        return budget
+
+    def _count_request(self, head) -> None:
+        """Add a request to its service's budget.
+
+        A request that a retry may have caused, such as a call of a target
+        that runs one, is charged as a retry in part.
+        """
+        now = clock.read_boot_clock()
+        limits, members = self._retry_limits, len(self._state.members)
+        budget = retrybudget.add_request(
+            self._find_budget(head.service, now), limits, members, now
+        )
+        if head.repeat_share > 0:
+            budget = retrybudget.charge_retry(
+                budget, limits, members, now, head.repeat_share
+            )
+        self._budgets[head.service] = budget
+
     def _take_retry(self, message) -> bool:
-        self._budget, allowed = attempts.take_retry(
-            self._budget, clock.read_boot_clock()
+        now = clock.read_boot_clock()
+        self._budgets[message.service], allowed = retrybudget.take_retry(
+            self._find_budget(message.service, now),
+            self._retry_limits,
+            len(self._state.members),
+            now,
+            RESERVED_CREDIT.get(message.reason, 0.0),
         )
         labels = {
             'service': message.service,
@@ -118,6 +152,8 @@
                 request=message.request_id,
                 service=message.service,
                 reason=message.reason.value,
+                credit=round(self._budgets[message.service].credit, 2),
+                members=len(self._state.members),
             )
         return allowed
 
@@ -128,6 +164,8 @@
             del self._target_stats[gone]
         for gone in self._latencies.keys() - current.services.keys():
             del self._latencies[gone]
+        for gone in self._budgets.keys() - current.services.keys():
+            del self._budgets[gone]
 
     def _choose(self, message):
         head = message.head
@@ -135,9 +173,7 @@
         if service is None:
             return choosing.NoCandidate('the service was removed', True)
         if message.first:
-            self._budget = attempts.count_request(
-                self._budget, clock.read_boot_clock()
-            )
+            self._count_request(head)
         if routes.needs_owner(service, head):
             return self._choose_owner(service, message)
         return self._choose_target(service, message)
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -24,6 +24,7 @@
 from sesamejunction.model import operating
 from sesamejunction.model import owning
 from sesamejunction.model import registry
+from sesamejunction.platform import bounds
 from sesamejunction.platform import config
 from sesamejunction.platform import frontend
 from sesamejunction.platform import heartbeathttp
@@ -224,6 +225,7 @@
             self._incarnation,
             node_settings.zone,
             count_retry=self._metrics.retries.inc,
+            retry_limits=bounds.decode_retry_limits(node_settings.bounds),
         )
         self._planner = rangeplanner.RangePlanner(
             node_settings.name,
@@ -299,6 +301,7 @@
                 self._declared.view,
                 node_settings.target_service,
                 self._audit,
+                hosting_ports.open_runs,
             )
         )
         self.heartbeat_handler = heartbeathttp.HeartbeatHandler(
--- a/test/test_attempts.py
+++ b/test/test_attempts.py
@@ -1,4 +1,4 @@
-"""State machine of a request and the retry budget."""
+"""State machine of a request."""
 
 import itertools
 
@@ -299,17 +299,3 @@
                 for inputs in GUARD_INPUTS.values()
             }
             assert outcomes == {expected}, event
-
-
-# Guards against retry storms: requests before, retries allowed.
-@pytest.mark.parametrize(('before', 'allowed'), [(0, 10), (100, 20)])
-def test_retry_budget(before, allowed):
-    budget = attempts.RetryBudget()
-    for _ in range(before):
-        budget = attempts.count_request(budget, 1.0)
-    results = []
-    for _ in range(100):
-        budget, may = attempts.take_retry(budget, 1.0)
-        results.append(may)
-    assert sum(results) == allowed
-    assert attempts.take_retry(budget, 1.0 + 60.0)[1]
--- a/test/test_positions.py
+++ b/test/test_positions.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sesamejunction.commands import hosting
 from sesamejunction.decisions import rangeleases as deciding
 from sesamejunction.model import journaling
 from sesamejunction.model import leasing
@@ -60,7 +61,9 @@
 
 def make_front(view, current):
     ports = types.SimpleNamespace(clock=lambda: NOW, states=None)
-    return frontend.Frontend(frontend.FrontendContext(ports, view, 's', None))
+    return frontend.Frontend(
+        frontend.FrontendContext(ports, view, 's', None, hosting.OpenRuns())
+    )
 
 
 # Guards against accepting a revoked key: the copy that revokes it has arrived
--- a/test/test_requestrun.py
+++ b/test/test_requestrun.py
@@ -10,7 +10,6 @@
 from sesamejunction.commands import requests as commands
 from sesamejunction.commands import serving
 from sesamejunction.commands import uploads
-from sesamejunction.decisions import attempts
 from sesamejunction.decisions import hashing
 from sesamejunction import errors
 from sesamejunction.model import choosing
@@ -582,17 +581,18 @@
     assert await requestfakes.route(ports) == 'answer'
 
 
-async def count_attempts(requests_made):
+async def count_attempts(requests_made, is_limited):
     total = 0
-    budget = attempts.RetryBudget()
+    real = chooser.Chooser(1, 'a')
+    await real.handle(
+        journaling.StateChanged(requestfakes.STATES[state.Routing.LOAD])
+    )
 
     class Limited(requestfakes.ScriptedChooser):
         async def ask(self, message):
-            nonlocal budget
+            allowed = await real.handle(message)
             if isinstance(message, choosing.TakeRetry):
-                budget, allowed = attempts.take_retry(budget, 1.0)
-                return allowed
-            budget = attempts.count_request(budget, 1.0)
+                return allowed or not is_limited
             return requestfakes.CHOSEN[2]
 
     for _ in range(requests_made):
@@ -606,12 +606,10 @@
 # Guards against a retry storm while all attempts fail. The second row
 # disables the budget.
 @pytest.mark.parametrize(
-    ('budget', 'within'),
-    [(attempts.take_retry, True), (lambda found, now: (found, True), False)],
+    ('is_limited', 'within'), [(True, True), (False, False)]
 )
-async def test_retries_are_limited_by_the_budget(monkeypatch, budget, within):
-    monkeypatch.setattr(attempts, 'take_retry', budget)
-    assert (await count_attempts(40) <= 40 * 1.15 + 10) is within
+async def test_retries_are_limited_by_the_budget(is_limited, within):
+    assert (await count_attempts(40, is_limited) <= 40 * 1.15 + 10) is within
 
 
 TOKEN = requests.Token(1, 0)
--- a/test/test_stop.py
+++ b/test/test_stop.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesamejunction.commands import hosting
 from sesamejunction.model import state
 from sesamejunction.platform import frontend
 from sesamejunction.ui import hostednode
@@ -94,7 +95,7 @@
         states=RecordingStates(),
     )
     node_front = frontend.Frontend(
-        frontend.FrontendContext(ports, None, 's', None)
+        frontend.FrontendContext(ports, None, 's', None, hosting.OpenRuns())
     )
     node_front.refusing = refusing
     with pytest.raises(frontend.RequestRefused) as refused:
