Grant no more key ranges than the answer to a heartbeat can name

The answer names at most 80 rows, but the node took all rows of its plan for held.

The lease itself limits a grant, so what the node believes is what the target was told. Rows that the target holds already go first, then wide ones; the line about granted keys says how many were left out.

test_grant_fits_into_the_answer fails before: 80 rows sent of 81 and of 500 believed (its row of exactly 80 lacks only the new count).

--- a/sesamejunction/decisions/rangeleases.py
+++ b/sesamejunction/decisions/rangeleases.py
@@ -32,6 +32,9 @@
 # the present one sent a heartbeat within this time. After that, it is more
 # likely that the clock was set back.
 STALE_LIFE_S = 3.0
+# Rows of one grant. More would not fit into the answer to a heartbeat, and the
+# target would hold less than this node believes.
+MAX_GRANT_ROWS = 80
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,9 +69,13 @@
 
 
 class RangeLeases:
-    """Key ranges granted to a node's target; times are boot-clock seconds."""
+    """Key ranges granted to a node's target; times are boot-clock seconds.
+
+    ``left_out`` is the number of rows that the latest grant had no room for.
+    """
 
     def __init__(self, started_at: float):
+        self.left_out = 0
         self._started_at = started_at
         self.life = None
         self.heard_at = float('-inf')
@@ -198,12 +205,27 @@
                 )
             elif self._is_settled(key_range, now):
                 rows += self._build_rows(key_range)
-        rows = join_rows(rows)
+        rows = self._limit_rows(join_rows(rows))
         self._granted = GrantedAnswer(
             self._heartbeat.sequence, rows, now + hold_s * (1 + DRIFT)
         )
         return leasing.Renewal(rows, hold_s)
 
+    def _limit_rows(self, rows) -> tuple[leasing.GrantRow, ...]:
+        """Return the rows that one grant may have, in order of their keys.
+
+        Rows that the target holds already go before others, wide ones before
+        narrow ones.
+        """
+        self.left_out = max(0, len(rows) - MAX_GRANT_ROWS)
+        if not self.left_out:
+            return rows
+        chosen = sorted(
+            rows,
+            key=lambda row: (not self._is_held(row), row.first - row.last),
+        )[:MAX_GRANT_ROWS]
+        return tuple(sorted(chosen, key=lambda row: row.first))
+
     @property
     def granted_rows(self) -> tuple[leasing.GrantRow, ...]:
         """Return the rows of the latest grant."""
@@ -304,7 +326,7 @@
             for life in key_range.previous
         )
 
-    def _is_held(self, key_range: ranges.Range) -> bool:
+    def _is_held(self, key_range: ranges.Range | leasing.GrantRow) -> bool:
         """Return whether the target holds the keys under the same epoch."""
         return self._heartbeat is not None and any(
             held.epoch == key_range.epoch
--- a/sesamejunction/platform/heartbeathttp.py
+++ b/sesamejunction/platform/heartbeathttp.py
@@ -10,9 +10,6 @@
 
 PREFIX = '/instances/'
 READINESS = '/readiness'
-# Largest answer that a target accepts.
-MAX_ANSWER_BYTES = 4096
-MAX_ROWS = 80
 
 
 class Model(pydantic.BaseModel):
@@ -131,8 +128,7 @@
     if renewal.rows is None:
         return {}
     rows = [
-        [row.first, row.last, row.epoch, row.handover]
-        for row in renewal.rows[:MAX_ROWS]
+        [row.first, row.last, row.epoch, row.handover] for row in renewal.rows
     ]
     return {'holds': rows, 'holdS': round(renewal.hold_s, 3)}
 
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -244,6 +244,7 @@
                 rows=new_renewal.rows,
                 hold_s=round(new_renewal.hold_s, 2),
                 plan_age_s=round(now - as_of, 2),
+                left_out=self._lease.left_out,
             )
             self._send(new_renewal, now)
             return True
--- a/test/test_leasing.py
+++ b/test/test_leasing.py
@@ -7,6 +7,7 @@
 from sesamejunction.decisions import rangeleases as deciding
 from sesamejunction.model import leasing
 from sesamejunction.model import ranges
+from sesamejunction.platform import heartbeathttp
 
 OLD = ranges.Life('node-a', 'target-a', 1000)
 AGAIN = ranges.Life('node-a', 'target-a', 2000)
@@ -264,3 +265,45 @@
     lease.end_life()
     lease.take_heartbeat(make_heartbeat(AGAIN, 1), START)
     assert not lease.accepts_heartbeat(make_heartbeat(OLD, 9), START + 60)
+
+
+def make_fragments(count, owner=OLD):
+    """Return a plan in which every other range belongs to ``owner``."""
+    width = 65536 // (2 * count)
+    owned = []
+    for number in range(count):
+        first = 2 * number * width
+        owned.append(ranges.Range(first, first + width - 1, number, owner))
+        owned.append(
+            ranges.Range(first + width, first + 2 * width - 1, number, NEW)
+        )
+    return make_plan(*owned)
+
+
+# Guards against a node that believes its target holds more keys than the
+# answer to a heartbeat has named: the target refuses the others with 421
+# (issue 20). Columns: ranges of the plan, ranges held before.
+@pytest.mark.parametrize(
+    ('count', 'held'), [(80, ()), (81, ()), (500, ()), (500, (7, 400, 499))]
+)
+def test_grant_fits_into_the_answer(count, held):
+    plan = make_fragments(count)
+    rows = [plan.ranges[2 * number] for number in held]
+    lease = make_leases(
+        OLD,
+        plan,
+        tuple(
+            leasing.HeldKeys(row.first, row.last, row.epoch) for row in rows
+        ),
+    )
+    renewal = lease.renew(START, START)
+    encoded = heartbeathttp.encode_renewal(renewal)
+    assert len(heartbeathttp.build_json_response(encoded).body) <= 4096
+    assert len(encoded['holds']) == len(renewal.rows) == min(80, count)
+    assert lease.granted_rows == renewal.rows
+    assert lease.left_out == count - len(renewal.rows)
+    granted = {row.first for row in renewal.rows}
+    assert granted >= {row.first for row in rows}
+    assert list(renewal.rows) == sorted(
+        renewal.rows, key=lambda row: row.first
+    )
