Withhold keys that the target denies to hold

A target that has restarted, or that refuses a grant, answers 421. Its node learnt nothing from that and sent the next request for the same key, each of which the rule on retries counts.

The node now takes the range out of what it sends until the answer to the target's next heartbeat grants it again. Requests are refused by the node in the meantime, without reaching the target.

test_denied_keys_are_withheld fails before in its first row: 7, 7, 8 and 2000 reach the target instead of 7 and 2000.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -110,10 +110,15 @@
     return await ports.scheduler.ask(gating.CheckAdmission(head))
 
 
+def is_ranged(ports: Ports, head) -> bool:
+    """Return whether the request's service is routed by key ranges."""
+    service = ports.states.current.services.get(head.service)
+    return service is not None and service.routing is state.Routing.RANGE
+
+
 def find_key_refusal(ports: Ports, head) -> requests.Refusal | None:
     """Return a refusal if the target does not hold the request's key."""
-    service = ports.states.current.services.get(head.service)
-    if service is None or service.routing is not state.Routing.RANGE:
+    if not is_ranged(ports, head):
         return None
     key, now = int(head.route_key), ports.clock()
     if ports.holdings.holds(key, now):
@@ -214,6 +219,8 @@
     ports.misses = 0
     if isinstance(reply, requests.Refusal):
         report.shed = reply.code is requests.Code.SHED
+        if reply.code is requests.Code.NOT_OWNER and is_ranged(ports, head):
+            ports.lease.tell(leasing.KeyNotHeld(int(head.route_key)))
         return dataclasses.replace(reply, load=ports.scheduler.load)
     report.taken_s = ports.clock() - started
     ports.metrics.observe('target_seconds', report.taken_s)
--- a/sesamejunction/commands/ports.py
+++ b/sesamejunction/commands/ports.py
@@ -132,6 +132,12 @@
             for key_range, since in self.waiting
         )
 
+    def withdraw(self, key: int) -> None:
+        """Remove the granted range that contains the key."""
+        self.rows = [
+            row for row in self.rows if not row.first <= key <= row.last
+        ]
+
     def holds(self, key: int, now: float) -> bool:
         """Return whether the target may run requests for the key."""
         return now < self.until and any(
--- a/sesamejunction/model/leasing.py
+++ b/sesamejunction/model/leasing.py
@@ -76,6 +76,13 @@
     """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyNotHeld:
+    """The target refused a request since it does not hold its key."""
+
+    key: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AskRelease:
     """Asks the node of a former owner to release keys.
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -117,6 +117,8 @@
                 self._handle_leave(target, now)
             case leasing.TargetUnreachable():
                 self._end_target('its port refused a connection')
+            case leasing.KeyNotHeld(key=key):
+                self._withdraw_key(key, now)
             case journaling.StateChanged(state=current):
                 self._apply_state(current, now)
             case leasing.StopNode():
@@ -341,6 +343,22 @@
         self._register()
         self._publish()
 
+    def _withdraw_key(self, key, now) -> None:
+        """Send the target no requests for keys that it denies to hold.
+
+        The answer to its next heartbeat grants them again if it may hold
+        them.
+        """
+        if not self.holdings.holds(key, now):
+            return
+        eliot.log_message(
+            'owner: target denies a key',
+            life=self._lease.life,
+            key=key,
+            rows=len(self.holdings.rows),
+        )
+        self.holdings.withdraw(key)
+
     def _end_target(self, reason) -> None:
         if self._lease.life is None:
             return
