Let only one side of a partition plan the owners of keys

A planner was the lowest name among the members that it hears; nothing made a side with few members yield.

A node that hears less than half of the members, or whose probes nobody answers, plans only when no other planner has announced itself in the topic for 8 s. A planner with silent members announces itself every 4 s.

--- a/sesamejunction/border/registrycodec.py
+++ b/sesamejunction/border/registrycodec.py
@@ -10,6 +10,7 @@
     'member': registry.MemberRecord,
     'plan': registry.PlanRecord,
     'allocators': state.Allocators,
+    'planner': state.ActivePlanner,
     'secret': registry.SecretRecord,
 }
 DECODERS = {
@@ -28,6 +29,8 @@
             return f'plan/{service}'
         case state.Allocators():
             return 'allocators'
+        case state.ActivePlanner():
+            return 'planner'
         case registry.SecretRecord():
             return 'secret'
 
--- a/sesamejunction/decisions/registry.py
+++ b/sesamejunction/decisions/registry.py
@@ -39,7 +39,7 @@
         """
         members = {}
         plans = {}
-        allocators = None
+        allocators = planner = None
         for record in records:
             match record:
                 case registry.MemberRecord(incarnation=incarnation):
@@ -48,6 +48,8 @@
                     plans[service] = record
                 case state.Allocators():
                     allocators = record
+                case state.ActivePlanner():
+                    planner = record
         self._members = rebuild_changed(self._members, members, build_member)
         self._plans = rebuild_changed(self._plans, plans, build_plan)
         last_state = self._last
@@ -75,6 +77,7 @@
             offset=offset,
             declared_end=declared_end,
             allocators=allocators,
+            planner=planner,
             **built,
             **self._build_declared(declared),
         )
--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -52,7 +52,12 @@
 
 
 Record = (
-    MemberRecord | PlanRecord | state.Allocators | SecretRecord | MemberGone
+    MemberRecord
+    | PlanRecord
+    | state.Allocators
+    | state.ActivePlanner
+    | SecretRecord
+    | MemberGone
 )
 
 
--- a/sesamejunction/model/state.py
+++ b/sesamejunction/model/state.py
@@ -187,6 +187,18 @@
     places: tuple[AllocatorPlace, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ActivePlanner:
+    """The planner of a fleet in which some members are silent.
+
+    ``round`` grows with each record, so that its readers see that the planner
+    is alive.
+    """
+
+    name: str
+    round: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """State folded from all log records before ``offset``.
@@ -200,9 +212,10 @@
     loss of all state, so that fencing tokens keep increasing. ``routes`` maps
     a host to its routes, longest prefix first. ``ranges`` maps a service to
     the owners of its key ranges. ``allocators`` is None where slots determine
-    the allocators. ``declared_end`` is the end offset of the topic that the
-    declarations were read from, ``declared_version`` the operator's version
-    number of them, 0 before the first.
+    the allocators. ``planner`` is the member that last announced itself as
+    planner, None if none did. ``declared_end`` is the end offset of the topic
+    that the declarations were read from, ``declared_version`` the operator's
+    version number of them, 0 before the first.
     """
 
     offset: int = 0
@@ -248,6 +261,7 @@
         dataclasses.field(default_factory=dict)
     )
     allocators: Allocators | None = None
+    planner: ActivePlanner | None = None
     limits: routing.Limits = routing.Limits()
     declared_version: int = 0
     declared_end: int = -1
--- a/sesamejunction/tasks/presence.py
+++ b/sesamejunction/tasks/presence.py
@@ -45,13 +45,14 @@
     ``last_heard_at`` is the boot-clock time by incarnation at which this node
     or a probed member last heard from it. ``silent`` holds the members not
     heard from for SILENCE_LIMIT_S, ``without_log`` those that cannot reach
-    the log.
+    the log. ``echoed_at`` is when a member last answered a probe of this node.
     """
 
     def __init__(self):
         self.last_heard_at = {}
         self.silent = frozenset()
         self.without_log = set()
+        self.echoed_at = NEVER
 
     def count_reachable(self) -> int:
         """Return the number of members heard from recently."""
@@ -258,6 +259,7 @@
         # Ages are subtracted from the time at which the probe was sent. The
         # member measured them later, so the times are never too recent.
         self._record_heard(echo.member, echo.sent_at)
+        self._view.echoed_at = max(self._view.echoed_at, echo.sent_at)
         self._set_log_contact(echo.member, echo.has_log)
         for member_id, age in echo.heard:
             if member_id in self._state.members:
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -28,6 +28,12 @@
 # Replaces NODE_RESTART_S if more than half of the members are silent: then the
 # planner may itself be cut off.
 PARTITION_WAIT_S = 8.0
+# A planner with silent members announces itself this often, so that a node on
+# the other side of a partition does not plan as well.
+ANNOUNCE_INTERVAL_S = PARTITION_WAIT_S / 2
+# Without an answer to a probe for this time, a node may be cut off even if it
+# still hears others.
+ECHO_LIMIT_S = 2.0
 # A node that was silent for this time is removed; it registers again if it
 # returns.
 REMOVE_AFTER_S = 20.0
@@ -57,6 +63,9 @@
 class RangePlanner(actor.Actor):
     """Plans if this node is the reachable member with the lowest name.
 
+    A node that hears less than half of the members only plans when nobody
+    else has announced itself as planner in the log for PARTITION_WAIT_S.
+
     ``presence`` is the view of member liveness. ``registrar`` appends
     proposals, of at most ``record_limit`` bytes. A proposal fails if the
     fleet's topic has grown since the state was folded, so that of two
@@ -94,6 +103,8 @@
         self._lives = frozenset()
         self._proposed_end = None
         self._retry_at = float('-inf')
+        self._minority_since = None
+        self._announced_at = float('-inf')
 
     async def handle(self, message):
         """Handle one message."""
@@ -114,11 +125,11 @@
     async def tick(self) -> None:
         """Propose the next record that the state needs, if any."""
         current = self._state
-        is_planner = bool(current.members) and self._is_planner()
+        now = clock.read_boot_clock()
+        is_planner = bool(current.members) and self._is_planner(now)
         self.tick_s = TICK_S if is_planner else IDLE_S
         if not is_planner:
             return
-        now = clock.read_boot_clock()
         if self._proposed_end == self._state.offset and now < self._retry_at:
             # The latest proposal was based on this state and is not read
             # yet.
@@ -144,7 +155,8 @@
 
     def _apply_state(self, current) -> None:
         now = clock.read_boot_clock()
-        self._state = current
+        before, self._state = self._state, current
+        self._note_other_planner(before.planner, now)
         lives = frozenset(
             registered_member.life
             for registered_member in current.members.values()
@@ -165,15 +177,62 @@
             for seen_epoch in epochs
         }
 
-    def _is_planner(self) -> bool:
+    def _is_planner(self, now) -> bool:
         eligible = self._state.members.keys() - self._presence.silent
         # A member that cannot reach the log cannot append.
         eligible -= self._presence.without_log
-        return self._member == min(
-            (self._state.members[member_id].name for member_id in eligible),
+        is_first = self._member == self._find_lowest_name(eligible)
+        if self._hears_majority(now):
+            self._minority_since = None
+            return is_first
+        # The others may have ended, or have a planner of their own; then this
+        # node reads its announcements.
+        if self._minority_since is None:
+            self._minority_since = now
+        return is_first and now - self._minority_since >= PARTITION_WAIT_S
+
+    def _find_lowest_name(self, member_ids) -> str | None:
+        return min(
+            (self._state.members[member_id].name for member_id in member_ids),
             default=None,
         )
 
+    def _hears_majority(self, now) -> bool:
+        """Return whether this node hears more than half of the members.
+
+        Of two halves, the one with the lowest name counts as the majority.
+        """
+        members = self._state.members
+        heard = {
+            member_id
+            for member_id, member in members.items()
+            if member.name == self._member
+        }
+        if now - self._presence.echoed_at <= ECHO_LIMIT_S:
+            heard |= members.keys() - self._presence.silent
+        if 2 * len(heard) != len(members):
+            return 2 * len(heard) > len(members)
+        return self._find_lowest_name(heard) == self._find_lowest_name(members)
+
+    def _note_other_planner(self, before, now) -> None:
+        """Wait again if another planner has announced itself."""
+        planner = self._state.planner
+        if planner in (None, before) or planner.name == self._member:
+            return
+        if self._minority_since is not None:
+            self._minority_since = now
+
+    def _find_announcement(self, now) -> state.ActivePlanner | None:
+        """Return the record that shows other nodes that this one plans."""
+        silent = self._state.members.keys() & self._presence.silent
+        if not silent or now - self._announced_at < ANNOUNCE_INTERVAL_S:
+            return None
+        self._announced_at = now
+        latest = self._state.planner
+        return state.ActivePlanner(
+            self._member, latest.round + 1 if latest is not None else 1
+        )
+
     def _list_lost_members(self, now) -> frozenset[int]:
         """Return the members whose targets must be replaced."""
         members = self._state.members
@@ -196,6 +255,9 @@
         )
 
     def _find_record(self, now):
+        announcement = self._find_announcement(now)
+        if announcement is not None:
+            return announcement
         gone = self._list_lost_members(now)
         for service in self._state.services.values():
             if service.routing is state.Routing.RANGE:
--- a/test/storemodel.py
+++ b/test/storemodel.py
@@ -252,6 +252,9 @@
     async def ask(self, member, message):
         """Ask a peer; the node replaces the links."""
         await asyncio.sleep(DATAGRAM_TAKES_S)
+        pair = self.incarnation, member.incarnation
+        if not all(self._fleet.reaches(*one) for one in (pair, pair[::-1])):
+            raise errors.PeerUnavailable('cut off; ask another')
         return await self._fleet.find(member.incarnation).answer(message)
 
     async def answer(self, message):
@@ -304,6 +307,8 @@
         self.nodes = [Node(self, number) for number in range(count)]
         self.ages = []
         self.key_rows_granted = self
+        # Whether datagrams and calls from one incarnation reach another.
+        self.reaches = lambda sender, receiver: True
 
     def inc(self, _labels):
         """Replace a metric."""
@@ -321,6 +326,8 @@
 
     def send(self, sender, message):
         """Deliver a datagram after a delay."""
+        if not self.reaches(sender, message.incarnation):
+            return
         asyncio.get_running_loop().call_later(
             DATAGRAM_TAKES_S,
             self.find(message.incarnation).presence.tell,
--- a/test/test_appends.py
+++ b/test/test_appends.py
@@ -12,6 +12,7 @@
 from sesamejunction.model import registry
 from sesamejunction.model import state
 from sesamejunction.tasks import clock
+from sesamejunction.tasks import presence
 from sesamejunction.tasks import rangeplanner
 from sesamejunction.tasks import registrar
 from test import fakes
@@ -109,7 +110,7 @@
 
 async def propose(proposals, grows_at):
     """Run a planner for a second, in which the topic grows once."""
-    view = types.SimpleNamespace(silent=frozenset(), without_log=set())
+    view = presence.PresenceView()
     task = rangeplanner.RangePlanner('a', 1, view, proposals, None)
     task._find_record = lambda _now: RECORD
     async with fakes.run_actors(task):
@@ -193,7 +194,7 @@
 
 
 async def plan_for(log, record_limit):
-    view = types.SimpleNamespace(silent=frozenset(), without_log=set())
+    view = presence.PresenceView()
     follower = fakes.FakeTask()
     appending = registrar.Registrar(log, follower)
     task = rangeplanner.RangePlanner(
