Return retries whose attempt no target has seen

After a target had refused or lost a request of one key, each further attempt took a retry, also when a node refused it because the key was moving. A few moving keys could use up the budget without one arrival at a target. The attempt's retry goes back when it has reached none.

test_unused_retries_are_returned: no retry was returned before.

--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -80,6 +80,8 @@
         self._may_have_run = False
         self._failure_is_permanent = False
         self._targets_reached = 0
+        # Incarnations of the open attempts that took a retry.
+        self._retried_at = set()
 
     async def run(self):
         """Run the request until it has a result; returns Answer or Refusal."""
@@ -390,6 +392,8 @@
         incarnation = self._candidate.member.incarnation
         self._tried = (*self._tried, incarnation)
         is_repeat = self._targets_reached or self._attempts.count_open()
+        if is_repeat:
+            self._retried_at.add(incarnation)
         head = dataclasses.replace(
             self._head,
             request_id=f'{self._head.request_id}.{self._attempt_count}',
@@ -408,18 +412,16 @@
         return message
 
     def _record_result(self, result: requestattempts.AttemptResult):
-        if isinstance(result.event, attempts.Lost) or (
-            isinstance(result.reply, requests.Refusal)
-            and (
-                result.reply.reached_target
-                # Nodes of earlier versions and plain targets send no mark.
-                or result.reply.code is requests.Code.SHED
-            )
-        ):
+        incarnation = result.candidate.member.incarnation
+        if may_have_reached_target(result):
             self._targets_reached += 1
+        elif incarnation in self._retried_at:
+            self._ports.chooser.tell_reliably(
+                choosing.ReturnRetry(self._head.service)
+            )
+        self._retried_at.discard(incarnation)
         if isinstance(result.event, attempts.NotConnected):
-            unreachable_incarnation = result.candidate.member.incarnation
-            self._unreachable = (*self._unreachable, unreachable_incarnation)
+            self._unreachable = (*self._unreachable, incarnation)
         match result.reply:
             case requests.Answer():
                 self._answer = self._add_owner_header(result)
@@ -456,3 +458,15 @@
             'the connection was lost or late after the request was sent; '
             'look up its effect before sending it again',
         )
+
+
+def may_have_reached_target(result: requestattempts.AttemptResult) -> bool:
+    """Return whether the attempt may have arrived at a target."""
+    match result.event, result.reply:
+        case attempts.Lost() | attempts.Completed(), _:
+            return True
+        case _, requests.Refusal(code=code, reached_target=reached_target):
+            # Nodes of earlier versions and plain targets send no mark.
+            return reached_target or code is requests.Code.SHED
+        case _:
+            return False
--- a/sesamejunction/decisions/retrybudget.py
+++ b/sesamejunction/decisions/retrybudget.py
@@ -102,6 +102,14 @@
     return dataclasses.replace(budget, credit=budget.credit - 1), True
 
 
+def return_retry(budget: RetryBudget) -> RetryBudget:
+    """Return the budget after a retry that has reached no target.
+
+    The next change limits the credit again.
+    """
+    return dataclasses.replace(budget, credit=budget.credit + 1)
+
+
 def charge_retry(
     budget: RetryBudget,
     limits: Limits,
--- a/sesamejunction/model/choosing.py
+++ b/sesamejunction/model/choosing.py
@@ -60,6 +60,13 @@
     reason: RetryReason
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReturnRetry:
+    """Returns a retry whose attempt has reached no target."""
+
+    service: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """Reports the end of an attempt at a member.
--- a/sesamejunction/tasks/chooser.py
+++ b/sesamejunction/tasks/chooser.py
@@ -101,6 +101,8 @@
                 self._record_result(message)
             case choosing.TakeRetry():
                 return self._take_retry(message)
+            case choosing.ReturnRetry(service=service):
+                self._return_retry(service)
             case journaling.StateChanged(state=current):
                 self._apply_state(current)
             case owning.MemberEnded(incarnation=incarnation):
@@ -157,6 +159,11 @@
             )
         return allowed
 
+    def _return_retry(self, service) -> None:
+        budget = self._budgets.get(service)
+        if budget is not None:
+            self._budgets[service] = retrybudget.return_retry(budget)
+
     def _apply_state(self, current):
         self._state = current
         self._ended.intersection_update(current.members)
--- a/test/test_retrybudget.py
+++ b/test/test_retrybudget.py
@@ -327,3 +327,51 @@
     )
     decoded = msgspec.convert(sent[: len(sent) - lacking], kind)
     assert linkcodec.decode_work(decoded, 100.0).repeat_share == share
+
+
+# Guards against retries that are used up by attempts that no target has seen,
+# such as those that a node refuses while a key moves. Columns: replies,
+# retries returned.
+@pytest.mark.parametrize(
+    ('replies', 'returned'),
+    [
+        pytest.param((requestfakes.LOST, NOT_OWNER, None), 1, id='refused'),
+        pytest.param(
+            (requestfakes.LOST, requestfakes.UNREACHABLE, None),
+            1,
+            id='unreachable',
+        ),
+        pytest.param((requestfakes.LOST, MISDIRECTED, None), 0, id='421'),
+        pytest.param((requestfakes.LOST,) * 3 + (None,), 0, id='lost'),
+        pytest.param((NOT_OWNER, NOT_OWNER, None), 0, id='none taken'),
+    ],
+)
+async def test_unused_retries_are_returned(replies, returned):
+    ports = requestfakes.make_ports(
+        chooser=requestfakes.ScriptedChooser([2, 3, 2, 3, 2], retries=9),
+        peers=requestfakes.FakeTransport(
+            *(reply or requestfakes.answer() for reply in replies)
+        ),
+    )
+    assert await requestfakes.route(ports) == 'answer'
+    told = ports.chooser.told.count(choosing.ReturnRetry('s'))
+    assert told == returned
+
+
+def test_returned_retry_can_be_taken_again():
+    """Guards against credit that a returned retry does not restore."""
+    budget = retrybudget.open_budget(LIMITS, 1.0)
+    for _ in range(20):
+        budget = retrybudget.add_request(budget, LIMITS, 12, 1.0)
+    budget, first = retrybudget.take_retry(budget, LIMITS, 12, 1.0)
+    assert first
+    assert not retrybudget.take_retry(budget, LIMITS, 12, 1.0)[1]
+    budget = retrybudget.return_retry(budget)
+    assert retrybudget.take_retry(budget, LIMITS, 12, 1.0)[1]
+    for _ in range(30):
+        budget = retrybudget.return_retry(budget)
+    taken = 0
+    while retrybudget.take_retry(budget, LIMITS, 12, 1.0)[1]:
+        budget, _ = retrybudget.take_retry(budget, LIMITS, 12, 1.0)
+        taken += 1
+    assert taken <= 4
