Skip records and heartbeats that no node could use

It could happen here: a nested record of the fleet's topic raised RecursionError in the registry, a port of 70,000 was accepted and given to sendto, a heartbeat with a start of 10**40 was registered as a number that msgpack cannot hold. A skipped record also took its member or plan out of the state.

Records are checked after decoding, heartbeats have bounds, and what a key said before holds. A node writes its own record again, any node the plan or the allocators that it knows, and a planner that knows no plan waits until owners of the unreadable one have lost their keys. A node that starts beside an unreadable secret waits instead of ending; nobody restores the secret yet.

--- a/sesamejunction/border/registrycodec.py
+++ b/sesamejunction/border/registrycodec.py
@@ -1,8 +1,12 @@
 """Encodes and decodes the records of the fleet's keyed topic."""
 
+import ipaddress
+import re
+
 import msgspec
 
 from sesamejunction import errors
+from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.model import state
 
@@ -18,6 +22,10 @@
     for kind, record_type in RECORD_TYPES.items()
 }
 ENCODER = msgspec.msgpack.Encoder()
+PORTS = range(1, 1 << 16)
+# Numbers that packets between nodes and the records themselves can hold.
+NUMBERS = range(1 << 63)
+SECRET = re.compile('(?:[0-9a-f]{2})+')
 
 
 def build_record_key(record: registry.Record) -> str:
@@ -43,11 +51,76 @@
 
 
 def decode_record(key: str, value: bytes) -> registry.Record:
-    """Return the record; raises CodecError for one of another version."""
+    """Return the record.
+
+    Raises CodecError for a record of another version or of another writer,
+    whose values this node could not use.
+    """
     kind = key.partition('/')[0]
     try:
-        return DECODERS[kind].decode(value)
-    except (KeyError, msgspec.MsgspecError) as error:
+        record = DECODERS[kind].decode(value)
+    except (KeyError, RecursionError, msgspec.MsgspecError) as error:
         raise errors.CodecError(
             f'record {key} cannot be read ({error}); upgrade this node'
         ) from error
+    problem = find_problem(record)
+    if problem is None and build_record_key(record) != key:
+        problem = 'it belongs to another key'
+    if problem is not None:
+        raise errors.CodecError(
+            f'record {key} cannot be used ({problem}); find its writer'
+        )
+    return record
+
+
+def find_problem(record: registry.Record) -> str | None:
+    """Return what makes the values of a record unusable, None if nothing."""
+    match record:
+        case registry.MemberRecord():
+            return _find_member_problem(record)
+        case registry.PlanRecord():
+            return _find_plan_problem(record)
+        case state.Allocators(places=places):
+            usable = places and all(
+                place.member in NUMBERS and place.epoch in NUMBERS
+                for place in places
+            )
+            return None if usable else 'a place or its number'
+        case registry.SecretRecord(secret=secret):
+            return None if SECRET.fullmatch(secret) else 'the secret'
+    return None
+
+
+def _find_member_problem(record) -> str | None:
+    try:
+        ipaddress.ip_address(record.host)
+    except ValueError:
+        return 'the host is no address'
+    usable = {
+        'the port': record.peer_port in PORTS,
+        'the number of slots': record.slots in NUMBERS,
+        'the incarnation': record.incarnation in NUMBERS,
+        'the life': record.life is None or _is_usable_life(record.life),
+    }
+    return next((name for name, found in usable.items() if not found), None)
+
+
+def _is_usable_life(life: ranges.Life) -> bool:
+    return life.born in NUMBERS
+
+
+def _find_plan_problem(record) -> str | None:
+    """Return a problem unless the ranges cover all keys once, in order."""
+    next_key = 0
+    for key_range in record.ranges:
+        if key_range.first != next_key or key_range.last < key_range.first:
+            return 'the keys are not covered in order'
+        lives = (key_range.owner, *key_range.previous)
+        if key_range.epoch not in NUMBERS or not all(
+            map(_is_usable_life, lives)
+        ):
+            return 'an epoch or a life'
+        next_key = key_range.last + 1
+    if record.ranges and next_key != ranges.LAST_KEY + 1:
+        return 'the keys are not covered'
+    return None
--- a/sesamejunction/decisions/registry.py
+++ b/sesamejunction/decisions/registry.py
@@ -30,12 +30,14 @@
         evacuated: collections.abc.Set[str],
         offset: int,
         declared_end: int = -1,
+        unreadable: collections.abc.Set[str] = frozenset(),
     ) -> state.State:
         """Return the state described by the newest records and declarations.
 
         ``evacuated`` holds the availability zones that get no new work.
         ``offset`` is the end offset of the fleet's topic with the records,
         ``declared_end`` that of the topic with the declarations.
+        ``unreadable`` holds the keys whose newest record cannot be read.
         """
         members = {}
         plans = {}
@@ -78,6 +80,7 @@
             declared_end=declared_end,
             allocators=allocators,
             planner=planner,
+            unreadable=unreadable,
             **built,
             **self._build_declared(declared),
         )
--- a/sesamejunction/model/state.py
+++ b/sesamejunction/model/state.py
@@ -213,9 +213,11 @@
     a host to its routes, longest prefix first. ``ranges`` maps a service to
     the owners of its key ranges. ``allocators`` is None where slots determine
     the allocators. ``planner`` is the member that last announced itself as
-    planner, None if none did. ``declared_end`` is the end offset of the topic
-    that the declarations were read from, ``declared_version`` the operator's
-    version number of them, 0 before the first.
+    planner, None if none did. ``unreadable`` holds the keys of records that
+    this node cannot read, where an earlier record may still hold.
+    ``declared_end`` is the end offset of the topic that the declarations were
+    read from, ``declared_version`` the operator's version number of them, 0
+    before the first.
     """
 
     offset: int = 0
@@ -262,6 +264,7 @@
     )
     allocators: Allocators | None = None
     planner: ActivePlanner | None = None
+    unreadable: collections.abc.Set[str] = frozenset()
     limits: routing.Limits = routing.Limits()
     declared_version: int = 0
     declared_end: int = -1
--- a/sesamejunction/platform/heartbeathttp.py
+++ b/sesamejunction/platform/heartbeathttp.py
@@ -1,5 +1,7 @@
 """Handles heartbeats of the target and readiness checks."""
 
+import typing
+
 from aiohttp import web
 import eliot
 import msgspec
@@ -12,26 +14,39 @@
 READINESS = '/readiness'
 
 
+# Largest values that a target may report. They keep an odd heartbeat from
+# filling the memory of the scheduler or from making a target cold for good.
+MAX_SLOTS = 1_000_000
+MAX_COLD_S = 3600.0
+
+
 class Model(pydantic.BaseModel):
     """Base model that ignores unknown fields."""
 
     model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
 
 
+# Numbers that the records of the fleet's topic can hold.
+Number = typing.Annotated[int, pydantic.Field(ge=0, lt=1 << 63)]
+Key = typing.Annotated[int, pydantic.Field(ge=0, le=ranges.LAST_KEY)]
+
+
 class Info(Model):
     """Properties that stay the same while a target runs."""
 
     service: str
     zone: str = ''
-    slots: int = pydantic.Field(ge=0)
+    slots: int = pydantic.Field(ge=0, le=MAX_SLOTS)
 
 
 class Status(Model):
     """Properties that change; ``sequence`` grows with each heartbeat."""
 
     state: str
-    sequence: int
-    cold_left_s: float = pydantic.Field(default=0.0, alias='coldLeftS')
+    sequence: Number
+    cold_left_s: float = pydantic.Field(
+        default=0.0, alias='coldLeftS', le=MAX_COLD_S, allow_inf_nan=False
+    )
 
 
 class HeartbeatBody(Model):
@@ -45,9 +60,9 @@
 
     info: Info
     status: Status
-    born: int = 0
-    holds: tuple[tuple[int, int, int], ...] = ()
-    freed: tuple[tuple[int, int, str], ...] = ()
+    born: Number = 0
+    holds: tuple[tuple[Key, Key, Number], ...] = ()
+    freed: tuple[tuple[Key, Key, str], ...] = ()
 
 
 class HeartbeatHandler:
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -128,14 +128,16 @@
         now = clock.read_boot_clock()
         is_planner = bool(current.members) and self._is_planner(now)
         self.tick_s = TICK_S if is_planner else IDLE_S
-        if not is_planner:
+        if not is_planner and not current.unreadable:
             return
         if self._proposed_end == self._state.offset and now < self._retry_at:
             # The latest proposal was based on this state and is not read
             # yet.
             return
-        self._request_loads(now)
-        record = self._find_record(now)
+        record = self._find_restoration()
+        if record is None and is_planner:
+            self._request_loads(now)
+            record = self._find_record(now)
         if record is None:
             return
         end = self._state.offset
@@ -254,6 +256,24 @@
             < rangeplanning.UNSETTLED_S
         )
 
+    def _find_restoration(self):
+        """Return a record that holds here but was replaced in the log.
+
+        Another writer has left one that cannot be read. Any node restores it,
+        since the planner may have started after that.
+        """
+        current = self._state
+        known = [
+            registry.PlanRecord(service, plan.ranges)
+            for service, plan in current.ranges.items()
+        ]
+        if current.allocators is not None:
+            known.append(current.allocators)
+        for record in known:
+            if registrycodec.build_record_key(record) in current.unreadable:
+                return record
+        return None
+
     def _find_record(self, now):
         announcement = self._find_announcement(now)
         if announcement is not None:
@@ -299,7 +319,11 @@
         epoch = self._state.offset + 1
         plan = current.ranges.get(service)
         if plan is None:
-            if now - self._changed_at < FIRST_PLAN_DELAY_S:
+            # Owners of a plan that this node cannot read may hold keys until
+            # their plan is too old, unless another node restores it before.
+            unreadable = f'plan/{service}' in current.unreadable
+            delay_s = rangeplanning.UNSETTLED_S if unreadable else 0.0
+            if now - self._changed_at < FIRST_PLAN_DELAY_S + delay_s:
                 return None
             planned = rangeplanning.plan_initial(lives, epoch)
         else:
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -35,6 +35,9 @@
         self._state_builder = folding.StateBuilder()
         # Offset and decoded record by key of the fleet's topic.
         self._records = {}
+        self._unreadable = frozenset()
+        # Offset of the unreadable record by key that was logged last.
+        self._skipped = {}
         self._declared = None
         self._evacuated = frozenset()
         self._end = 0
@@ -51,7 +54,7 @@
                 self._publish()
 
     def _take_fleet(self, copy) -> None:
-        records = {}
+        records, unreadable = {}, set()
         for key, item in copy.items.items():
             known = self._records.get(key)
             if known is not None and known[0] == item.offset:
@@ -60,12 +63,30 @@
             try:
                 record = registrycodec.decode_record(key, item.value)
             except errors.CodecError as error:
-                eliot.log_message('journal: record skipped', reason=str(error))
+                self._log_skipped(key, item, error)
+                unreadable.add(key)
+                if known is not None:
+                    # What the key said before holds until a record that can
+                    # be read replaces it.
+                    records[key] = known
                 continue
             records[key] = item.offset, record
         self._records = records
+        self._unreadable = frozenset(unreadable)
         self._end = copy.end
 
+    def _log_skipped(self, key, item, error) -> None:
+        """Log an unreadable record once."""
+        if self._skipped.get(key) != item.offset:
+            self._skipped[key] = item.offset
+            eliot.log_message(
+                'journal: record skipped',
+                reason=str(error),
+                offset=item.offset,
+                size=len(item.value),
+                known=key in self._records,
+            )
+
     def _take_declared(self, copy) -> None:
         self._declared_end = copy.end
         declared, evacuated = self._read_declared(copy, self._declared)
@@ -100,6 +121,7 @@
             self._evacuated,
             self._end,
             self._declared_end,
+            self._unreadable,
         )
         changed = journaling.StateChanged(current)
         for subscriber in self._subscribers:
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -5,6 +5,7 @@
 
 import eliot
 
+from sesamejunction.border import registrycodec
 from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import rangeleases as deciding
 from sesamejunction import errors
@@ -404,8 +405,17 @@
             self._serve_claimants(now)
 
     def _note_membership(self, current) -> None:
-        """Register again after other members have removed this node."""
-        is_member = self._identity.incarnation in current.members
+        """Register again if this node's record was removed or replaced.
+
+        Other members remove a silent node; another writer may leave a record
+        that cannot be read.
+        """
+        is_member = (
+            self._identity.incarnation in current.members
+            and self._registered is not None
+            and registrycodec.build_record_key(self._registered)
+            not in current.unreadable
+        )
         if self._was_member and not is_member:
             self._registrar.tell(
                 registry.Register(self._registered, is_retry=True)
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -141,7 +141,7 @@
                 await self._fleet_topic.append(entry, copy.end)
             except errors.AppendConflict:
                 continue
-            except errors.LogUnavailable as error:
+            except (errors.LogUnavailable, errors.CodecError) as error:
                 eliot.log_message(
                     'node: waiting for the log', reason=str(error)
                 )
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -277,7 +277,8 @@
 
 RECORDS = [
     registry.MemberRecord(
-        'node', 9, 'z', 'h', 1, 's', 12, ranges.Life('node', 'i-1', 3)
+        *('node', 9, 'z', '10.0.0.1', 1, 's', 12),
+        ranges.Life('node', 'i-1', 3),
     ),
     registry.PlanRecord(
         's',
