Refuse late bodies in a planned stop and answer what outlasts it

New requests were refused here from 2.3 s on, but one whose body came later was passed on, one that waited for the owner of its key could still be sent, and what was open at the limit saw its connection close. The limit was 5 s whatever grace time the platform gives.

Both are refused now, 'not run'. At the limit each open request gets an answer: 503 if nothing was sent, else 502. An attempt whose wait is cancelled stays open, so that 'not run' is true. The limit is at most five sixths of the grace time.

test_planned_stop_refuses_a_late_body (processes) got 502 before, after the request had been passed on, and gets 503 now.

--- a/sesamejunction/commands/ports.py
+++ b/sesamejunction/commands/ports.py
@@ -81,6 +81,18 @@
         self._remaining += 1
 
 
+@dataclasses.dataclass(slots=True)
+class StopProgress:
+    """Progress of a planned stop, readable without a message.
+
+    While ``is_refusing``, no new work is started. Once ``is_over``, requests
+    that are still open are answered with what is known of them.
+    """
+
+    is_refusing: bool = False
+    is_over: bool = False
+
+
 class StateView:
     """Holds the latest folded state, readable without a message."""
 
@@ -173,6 +185,7 @@
     clock: collections.abc.Callable[[], float]
     waiter_limit: WaiterLimit
     keys: KeyCounter | None = None
+    stop: StopProgress = dataclasses.field(default_factory=StopProgress)
 
 
 def refuse(code, message, **details) -> requests.Refusal:
--- a/sesamejunction/commands/requestattempts.py
+++ b/sesamejunction/commands/requestattempts.py
@@ -110,10 +110,10 @@
                 # No other attempt and no timeout can come first, so the
                 # coroutine is awaited directly. A task would cost about
                 # 20 us.
-                try:
-                    return await attempt
-                finally:
-                    del self._open[number]
+                # It stays open if the wait is cancelled, as it may run then.
+                result = await attempt
+                del self._open[number]
+                return result
             task = self._open[number] = asyncio.ensure_future(attempt)
             task.add_done_callback(
                 lambda _: self._post(AttemptTaskEnded(number))
--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -47,6 +47,11 @@
     except (errors.InboxFull, errors.TaskStopped) as error:
         return request_run.refuse_after_failure(str(error))
     except asyncio.CancelledError:
+        if ports.stop.is_over:
+            asyncio.current_task().uncancel()
+            return request_run.refuse_after_failure(
+                'the node stops', requests.Code.STOPPING
+            )
         request_run.record_caller_left()
         raise
     finally:
@@ -122,11 +127,13 @@
             attempts.GuardInputs(self._head.repeatable),
         )
 
-    def refuse_after_failure(self, reason: str) -> requests.Refusal:
-        """Return the refusal for when a task of this node did not reply."""
+    def refuse_after_failure(
+        self, reason: str, code=requests.Code.OVERLOADED
+    ) -> requests.Refusal:
+        """Return the refusal for when this node cannot finish the request."""
         if self._may_have_run or self._attempts.count_open():
             return self._refuse_as_unknown()
-        return refuse(requests.Code.OVERLOADED, reason, retry_after_s=1.0)
+        return refuse(code, reason, retry_after_s=1.0)
 
     async def _admit(self):
         """Check the deadline, the node's lease and the organisation's rate.
@@ -355,8 +362,8 @@
     async def _pause(self) -> bool:
         """Wait before the next search for an owner.
 
-        Returns False without waiting if the pause would reach the deadline
-        or too many requests wait already.
+        Returns False without waiting if the pause would reach the deadline,
+        too many requests wait already or this node stops.
         """
         ports, pause = self._ports, self._pause_s
         self._pause_s = min(pause * 2, LONGEST_PAUSE_S)
@@ -371,6 +378,9 @@
             self._successor_ready_at = None
         if ports.clock() + pause >= self._head.deadline:
             return False
+        if ports.stop.is_refusing:
+            # The attempt after the pause might outlast the stop.
+            return False
         if not ports.waiter_limit.try_enter():
             return False
         try:
--- a/sesamejunction/platform/bounds.py
+++ b/sesamejunction/platform/bounds.py
@@ -6,6 +6,8 @@
 from sesamejunction.decisions import retrybudget
 
 PAIR_SEPARATOR = ','
+# Time from the signal to stop until the process is killed, in seconds.
+DEFAULT_GRACE_S = 6.0
 
 
 class Bounds(pydantic.BaseModel):
@@ -28,29 +30,45 @@
         gt=0,
         alias='budgetWindowS',
     )
+    grace_s: float = pydantic.Field(
+        default=DEFAULT_GRACE_S, gt=0, alias='graceS'
+    )
     fixed_retries: float = pydantic.Field(
         default=retrybudget.DEFAULT_LIMITS.fixed, ge=0, alias='retrySlack'
     )
 
 
 def decode_retry_limits(text: str) -> retrybudget.Limits:
+    """Return the limits of retries in a text of NAME=VALUE pairs."""
+    bounds = decode_bounds(text)
+    return retrybudget.Limits(
+        bounds.retry_ratio, bounds.retry_window_s, bounds.fixed_retries
+    )
+
+
+def decode_grace(text: str) -> float:
+    """Return the time that the platform gives a stopping process."""
+    return decode_bounds(text).grace_s
+
+
+def decode_bounds(text: str) -> Bounds:
     """Return the limits in a text of NAME=VALUE pairs.
 
-    Without readable ones, returns the defaults and logs the reason: a node
-    that retries too little still serves its callers.
+    An unreadable limit is logged and has its default: a node that retries too
+    little still serves its callers.
     """
     pairs = (pair.partition('=') for pair in text.split(PAIR_SEPARATOR))
     values = {name.strip(): value.strip() for name, _, value in pairs}
     try:
-        bounds = Bounds.model_validate(values)
+        return Bounds.model_validate(values)
     except pydantic.ValidationError as error:
-        problem = error.errors(include_url=False, include_input=False)[0]
+        problems = error.errors(include_url=False, include_input=False)
+    for problem in problems:
+        name = problem['loc'][0]
         eliot.log_message(
-            'node: limits unreadable, using the defaults',
-            field='.'.join(map(str, problem['loc'])),
+            'node: limit unreadable, using the default',
+            field=name,
             reason=problem['msg'],
         )
-        return retrybudget.DEFAULT_LIMITS
-    return retrybudget.Limits(
-        bounds.retry_ratio, bounds.retry_window_s, bounds.fixed_retries
-    )
+        del values[name]
+    return Bounds.model_validate(values)
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -65,16 +65,38 @@
 class Frontend:
     """Handles HTTP requests of callers and of the local target.
 
-    While ``stopping`` is set, connections close after their next answer;
-    while ``refusing`` is set, all requests are refused.
+    While ``stopping`` is set, connections close after their next answer.
     """
 
     def __init__(self, context: FrontendContext):
         self._context = context
         self._request_numbers = itertools.count(1)
         self.stopping = False
-        self.refusing = False
-        self.open_requests = 0
+        self._open = set()
+
+    @property
+    def open_requests(self) -> int:
+        """Return the number of requests without a reply."""
+        return len(self._open)
+
+    @property
+    def refusing(self) -> bool:
+        """Return whether all new requests are refused."""
+        return self._context.ports.stop.is_refusing
+
+    def refuse_new_work(self) -> None:
+        """Refuse all requests from now on."""
+        self._context.ports.stop.is_refusing = True
+
+    def end_requests(self) -> None:
+        """Answer the open requests with what is known of them.
+
+        Their callers would otherwise see a connection that closes, and could
+        not tell whether a request was sent to a target.
+        """
+        self._context.ports.stop.is_over = True
+        for task in self._open:
+            task.cancel()
 
     def build_server(self) -> web.Server:
         """Return the server; closing a connection cancels its request."""
@@ -91,7 +113,8 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one request and return its reply."""
-        self.open_requests += 1
+        task = asyncio.current_task()
+        self._open.add(task)
         try:
             return await self._handle(request)
         except RequestRefused as refused:
@@ -105,18 +128,19 @@
                 refused.retry_after_s,
             )
         finally:
-            self.open_requests -= 1
+            self._open.discard(task)
 
     async def _handle(self, request):
         context = self._context
-        if self.refusing:
-            raise RequestRefused(503, 'the node stops; come back', RESTART_S)
+        self._check_not_stopping()
         started = context.ports.clock()
         current = context.ports.states.current
         route = self._find_route(current, request)
         organisation = self._find_organisation(current, route, request)
         head = self._build_head(current, route, organisation, request, started)
         body = await self._read_body(request, head, current)
+        # A long body may arrive when there is no time left to run the request.
+        self._check_not_stopping()
         outcome = await commands.route_request(
             context.ports, current, head, uploads.Upload(body)
         )
@@ -137,6 +161,10 @@
                     outcome.retry_after_s,
                 )
 
+    def _check_not_stopping(self) -> None:
+        if self.refusing:
+            raise RequestRefused(503, 'the node stops; come back', RESTART_S)
+
     def _find_route(self, current, request) -> routing.Route:
         if not current.declared_version:
             raise RequestRefused(503, 'no declarations yet', RETRY_AFTER_S)
@@ -227,6 +255,11 @@
         try:
             async with asyncio.timeout(max(0.0, left_s)):
                 return await request.content.read()
+        except asyncio.CancelledError:
+            if not self._context.ports.stop.is_over:
+                raise
+            asyncio.current_task().uncancel()
+            self._check_not_stopping()
         except TimeoutError:
             raise RequestRefused(
                 503, 'the body did not arrive in time', RETRY_AFTER_S
--- a/sesamejunction/ui/hostednode.py
+++ b/sesamejunction/ui/hostednode.py
@@ -10,12 +10,17 @@
 
 from sesamejunction.border import hostedsettings
 from sesamejunction import errors
+from sesamejunction.platform import bounds
 from sesamejunction.ui import hostedwiring
 
 # Callers poll readiness once a second, and leave a node after two polls that
 # find it not ready.
 CALLER_LEAVE_S = 2.3
 POLL_INTERVAL_S = 0.02
+# Time for the answers to requests that outlast the stop to leave this node.
+LAST_ANSWERS_S = 0.1
+# Part of the platform's grace time that a stop may use.
+GRACE_PART = 5 / 6
 
 
 class Process:
@@ -93,13 +98,14 @@
     async def _stop(self) -> None:
         """Wait for callers to leave, finish all requests, then end."""
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + self._settings.stop_limit_s
+        limit_s = self._find_stop_limit()
+        deadline = loop.time() + limit_s
         components = self._components
         components.begin_stop()
         eliot.log_message(
             'node: stopping', open=components.count_open_requests()
         )
-        await asyncio.sleep(CALLER_LEAVE_S)
+        await asyncio.sleep(min(CALLER_LEAVE_S, limit_s / 2))
         components.refuse_new_work()
         await self._wait_for_requests(deadline)
         # A refused connection tells a late caller that nothing has run.
@@ -108,9 +114,19 @@
         await components.close_peer_connections(deadline)
         # Requests may have arrived on connections that were still open.
         await self._wait_for_requests(deadline)
-        eliot.log_message(
-            'node: stopped', cut=components.count_open_requests()
-        )
+        cut = components.count_open_requests()
+        if cut:
+            components.end_requests()
+            await asyncio.sleep(LAST_ANSWERS_S)
+        eliot.log_message('node: stopped', cut=cut)
+
+    def _find_stop_limit(self) -> float:
+        """Return the longest time for a planned stop, in seconds.
+
+        The platform kills the process at the end of its grace time.
+        """
+        grace_s = bounds.decode_grace(self._settings.bounds)
+        return min(self._settings.stop_limit_s, grace_s * GRACE_PART)
 
     async def _wait_for_requests(self, deadline: float) -> None:
         loop = asyncio.get_running_loop()
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -378,9 +378,13 @@
         Callers have left by now, unless they have no other node to use.
         Nodes that forward requests go on sending them until this node ends.
         """
-        self.front.refusing = True
+        self.front.refuse_new_work()
         self._scheduler.tell(gating.StopAdmitting())
 
+    def end_requests(self) -> None:
+        """Answer the requests of callers that are still open."""
+        self.front.end_requests()
+
     async def close_peer_connections(self, deadline: float) -> None:
         """Ask other nodes to close their connections to this one, and wait.
 
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -523,6 +523,41 @@
         assert stopping_machine.process.returncode == 0
 
 
+# When the rest of a body comes: after callers had time to leave, but within
+# the 5 s that a stop may take. The request could run for much longer.
+LATE_BODY_S = 3.0
+
+
+async def test_planned_stop_refuses_a_late_body():
+    """A request whose body comes late in a stop has not run and is refused.
+
+    Guards against a node that passes it on with too little time left: the
+    caller of a request that may not be repeated could not tell whether it ran.
+    """
+    async with Fleet() as fleet:
+        stopping_machine, owner = fleet.machines[0], fleet.machines[3]
+        owner.server.work_s = 10.0
+        before = len(owner.server.received_requests)
+
+        async def send_slowly():
+            yield b'first'
+            await asyncio.sleep(LATE_BODY_S)
+            yield b'last'
+
+        call = asyncio.ensure_future(
+            fleet.call(
+                stopping_machine,
+                *('/report/1', None, KEY, 'POST', 9000, send_slowly()),
+            )
+        )
+        await asyncio.sleep(0.1)
+        await stopping_machine.end(signal.SIGTERM)
+        status, _ = await call
+        assert status == 503
+        assert len(owner.server.received_requests) == before
+        assert stopping_machine.process.returncode == 0
+
+
 # A planned stop takes 2.3 s. The caller's node is paused from before the
 # answer until after that time.
 LONG_WORK_S = 1.8
