--- a/bench/control.py
+++ b/bench/control.py
@@ -139,11 +139,13 @@
 
 def build_tasks(incarnation, socket):
     """Return the lease, witness and owners tasks of one node."""
-    ports = leases.Ports(socket, MessageSink())
-    ports = owners.Ports(None, MessageSink(), MessageSink(), MessageSink())
-    owner = owners.Owners(incarnation, ports)
-    holder = leases.Leases(incarnation, ports, owner)
-    watcher = witnesses.Witnesses(incarnation, ports, (holder, owner))
+    lease_ports = leases.Ports(socket, MessageSink())
+    owner_ports = owners.Ports(
+        None, MessageSink(), MessageSink(), MessageSink()
+    )
+    owner = owners.Owners(incarnation, owner_ports)
+    holder = leases.Leases(incarnation, lease_ports, owner)
+    watcher = witnesses.Witnesses(incarnation, lease_ports, (holder, owner))
     for task in (holder, watcher):
         task.journal = MessageSink()
     socket.subscribe(holder, leases.MESSAGE_TYPES)
