Read refusals for reasons that only a later version knows

Refusals between nodes with a reason or outcome that this version does not know raised ValueError, not the documented error, and ended the request as a fault of this node. A new reason counts as overloaded, since 'not run' holds whatever the reason; a new outcome is unknown.

test_refusal_of_a_later_version_is_read fails before in two of three rows.

--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -10,6 +10,8 @@
 # A node replies this long before the requester's deadline, so that a refusal
 # arrives in time to say that nothing ran.
 REPLY_MARGIN_S = 0.03
+CODES = {code.value: code for code in requests.Code}
+OUTCOMES = {outcome.value: outcome for outcome in requests.Outcome}
 
 
 def encode_work(number, head, body, now) -> linking.Work:
@@ -107,7 +109,9 @@
 def decode_reply(frame) -> requests.Answer | requests.Refusal:
     """Return the answer or refusal of a frame.
 
-    Raises PeerConnectionLost for any other frame.
+    A reason that only a later version knows counts as OVERLOADED, since
+    "not run" holds whatever the reason. Raises PeerConnectionLost for an
+    unknown outcome and for any other frame.
     """
     match frame:
         case linking.WorkAnswer():
@@ -117,10 +121,10 @@
                 frame.body,
                 frame.load and requests.Load(*frame.load),
             )
-        case linking.WorkRefused():
+        case linking.WorkRefused() if frame.outcome in OUTCOMES:
             return requests.Refusal(
-                requests.Code(frame.code),
-                requests.Outcome(frame.outcome),
+                CODES.get(frame.code, requests.Code.OVERLOADED),
+                OUTCOMES[frame.outcome],
                 frame.message,
                 frame.retry_after_s,
                 load=frame.load and requests.Load(*frame.load),
--- a/test/test_linkcodec.py
+++ b/test/test_linkcodec.py
@@ -5,6 +5,7 @@
 
 from sesamejunction.border import linkcodec
 from sesamejunction.commands import ports as porting
+from sesamejunction import errors
 from sesamejunction.model import linking
 from sesamejunction.model import requests
 
@@ -45,3 +46,26 @@
     older = msgspec.msgpack.decode(msgspec.msgpack.encode(sent))[:-lacking]
     frame = msgspec.convert(older, linking.WorkRefused)
     assert linkcodec.decode_reply(frame) == refusal
+
+
+# Guards against a request that ends with an error of this node because a node
+# of a later version refuses it for a new reason. Columns: reason and outcome
+# on the wire, reason of the refusal; None if the outcome is unknown.
+@pytest.mark.parametrize(
+    ('code', 'outcome', 'expected'),
+    [
+        ('shed', 'not-run', requests.Code.SHED),
+        ('too-early', 'not-run', requests.Code.OVERLOADED),
+        ('shed', 'perhaps', None),
+    ],
+)
+def test_refusal_of_a_later_version_is_read(code, outcome, expected):
+    frame = linking.WorkRefused(7, code, outcome, 'why', 0.1, None)
+    if expected is None:
+        with pytest.raises(errors.PeerConnectionLost):
+            linkcodec.decode_reply(frame)
+        return
+    refusal = linkcodec.decode_reply(frame)
+    assert refusal.code is expected
+    assert refusal.outcome is requests.Outcome.NOT_RUN
+    assert refusal.message == 'why'
