Random faults on running nodes: a seeded soak

Kills, pauses, planned stops, restarts of targets and lost answers begin at random moments on a hosted fleet and overlap, while callers keep their connections. Checked are what callers and targets see: once-only requests run once at most and never after a promise that they did not, no key has two holders, fences grow, retries keep their limit, all keys are served again.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: run test check unit format lock soak bench clean
+.PHONY: run test check unit format lock soak faults bench clean
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -31,6 +31,11 @@
 soak: $(VENV)/.installed
 	HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest -k 'property'
 
+# Random faults on running processes, with fresh seeds.
+SEEDS ?= 50
+faults: $(VENV)/.installed
+	SOAK_SEEDS=$(SEEDS) $(BIN)/python -m pytest -s test/process/test_soak.py
+
 BENCHES = path tail neighbours control fold appends placement shares
 
 bench: $(VENV)/.installed
--- a/standins/keyserver.py
+++ b/standins/keyserver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import time
 
 import aiohttp
@@ -30,6 +31,8 @@
         self._released = []
         self._stack = contextlib.AsyncExitStack()
         self.work_s = 0.002
+        # Share of the requests that run and get no answer.
+        self.lost_share = 0.0
         self.response_body = b'whole'
         # Requests whose connection was closed while they were running.
         self.aborted_requests = 0
@@ -69,6 +72,8 @@
         await asyncio.sleep(self.work_s)
         if request.transport is None or request.transport.is_closing():
             self.aborted_requests += 1
+        if request.transport is not None and random.random() < self.lost_share:
+            request.transport.abort()
         headers['X-Response-Signature'] = 'signed'
         return web.Response(body=self.response_body, headers=headers)
 
