Let a planner that has just started plan before its first probe is answered

A node whose probes nobody has answered counted as alone from its start on, so the new planner waited for the first echo before it named the allocators.

The time of the latest answer begins with the start of the node.

test_planner_hears_most_members[just started] fails before.

--- a/sesamejunction/platform/bounds.py
+++ b/sesamejunction/platform/bounds.py
@@ -13,7 +13,7 @@
 class Bounds(pydantic.BaseModel):
     """The limits that this project keeps; others are ignored.
 
-    A limit that is not set has the value of decisions/retrybudget.
+    A limit that is not set has its default.
     """
 
     model_config = pydantic.ConfigDict(
--- a/sesamejunction/tasks/presence.py
+++ b/sesamejunction/tasks/presence.py
@@ -84,6 +84,8 @@
         self._fetchers = fetchers
         self._state = state.State()
         self._started_at = clock.read_boot_clock()
+        # Until the first probes can be answered, this node is not alone.
+        view.echoed_at = self._started_at
         self._registered_at = {}
         self._awaits_echoes = False
         self._probed_at = NEVER
--- a/test/test_partitions.py
+++ b/test/test_partitions.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import random
+import types
 
 import pytest
 
 from sesamejunction.border import registrycodec
 from sesamejunction.model import ranges
+from sesamejunction.model import state
 from sesamejunction.platform import store
 from sesamejunction.tasks import clock
+from sesamejunction.tasks import presence
 from sesamejunction.tasks import rangeplanner
 from test import storemodel
 
@@ -84,3 +87,39 @@
     most = NODES * rangeplanner.rangeplanning.MAX_RANGES_PER_OWNER
     assert max(len(plan.ranges) for plan in during + after) <= most
     assert after[-1].ranges[-1].last == ranges.LAST_KEY
+
+
+# Guards against a node that plans although it may be cut off, and against one
+# that has just started and waits for an answer to its first probe: after a
+# kill of all nodes, no rate tokens were granted for 0.6 s. Columns: number of
+# this node, silent nodes, seconds since an answer or the start, whether it may
+# plan at once.
+@pytest.mark.parametrize(
+    ('own', 'silent', 'echo_s', 'expected'),
+    [
+        pytest.param(0, (), None, True, id='just started'),
+        pytest.param(0, (), 0.4, True, id='all heard'),
+        pytest.param(0, (), 9.0, False, id='no probe is answered'),
+        pytest.param(0, (1, 2), 0.4, True, id='half, with the lowest name'),
+        pytest.param(2, (0, 1), 0.4, False, id='the other half'),
+        pytest.param(1, (0,), 0.4, True, id='most'),
+        pytest.param(0, (1, 2, 3), 0.4, False, id='few'),
+    ],
+)
+async def test_planner_hears_most_members(own, silent, echo_s, expected):
+    now = clock.read_boot_clock()
+    members = {
+        number: types.SimpleNamespace(name=f'n{number}', life=None)
+        for number in range(4)
+    }
+    view = presence.PresenceView()
+    presence.Presence(own, None, view, (), (), ())
+    if echo_s is not None:
+        view.echoed_at = now - echo_s
+    view.silent = frozenset(silent)
+    planner = rangeplanner.RangePlanner(f'n{own}', own, view, None, None)
+    planner._state = state.State(members=members)
+    assert planner._is_planner(now) is expected
+    later = now + rangeplanner.PARTITION_WAIT_S
+    view.echoed_at = later if expected else view.echoed_at
+    assert planner._is_planner(later)
