Let few nodes of a zone read the log and pass changes on

Each node read both topics, so calls to the store grew with the fleet: a change ended the long polls of all nodes, and a calm fleet of 58 made some 540 calls in half a minute.

In each availability zone the first two members of a rendezvous order read a topic; the others ask a member of their zone for news, at most four of them the same one. An answer says when the copy was known to be current, so holds and caller keys rest on the same age as before. A node whose copy is older than 2.5 s, whose append failed or that knows no peer reads the log itself. The reads of the readers end one after the other, every 0.4 s.

Both readers of a zone frozen delay a change by less than 1.5 s.

--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -1,5 +1,9 @@
 """Encodes requests, replies and questions as frames, and decodes them."""
 
+import zlib
+
+import msgspec
+
 from sesamejunction.commands import wholebodies
 from sesamejunction import errors
 from sesamejunction.model import leasing
@@ -11,6 +15,11 @@
 # arrives in time to say that nothing ran.
 REPLY_MARGIN_S = 0.03
 CODES = {code.value: code for code in requests.Code}
+NEWS_DECODER = msgspec.msgpack.Decoder(registry.TopicNews)
+# Smaller news are not worth compressing.
+MIN_PACKED_BYTES = 512
+# Fastest level; configurations shrink to a tenth.
+COMPRESSION_LEVEL = 1
 OUTCOMES = {outcome.value: outcome for outcome in requests.Outcome}
 
 
@@ -146,3 +155,54 @@
             return linking.CopyQuestion(number, topic, end)
         case leasing.AskKeyLoad():
             return linking.LoadQuestion(number)
+        case registry.AskNews(topic=topic, end=end, wait_s=wait_s):
+            return linking.NewsQuestion(number, topic, end, int(wait_s * 1e3))
+
+
+def decode_question_reply(frame):
+    """Return what a task's question was answered."""
+    match frame:
+        case linking.CopyReply():
+            return frame
+        case linking.NewsReply():
+            return decode_news(frame)
+        case _:
+            return frame.body
+
+
+class NewsEncoder:
+    """Encodes the news of topics.
+
+    Several nodes ask for the same news, which are encoded once.
+    """
+
+    def __init__(self):
+        self._encoded = {}
+
+    def encode(self, number, topic, answer) -> linking.NewsReply:
+        """Return the frame of a registry.NewsAnswer."""
+        news = answer.news
+        if news is None:
+            return linking.NewsReply(number, b'', False, 0.0)
+        known = self._encoded.get(topic)
+        if known is None or known[0] is not news:
+            data = msgspec.msgpack.encode(news)
+            is_packed = len(data) >= MIN_PACKED_BYTES
+            if is_packed:
+                data = zlib.compress(data, COMPRESSION_LEVEL)
+            known = self._encoded[topic] = news, data, is_packed
+        return linking.NewsReply(number, *known[1:], answer.as_of_s)
+
+
+def decode_news(frame: linking.NewsReply) -> registry.NewsAnswer:
+    """Return the answer; raises PeerUnavailable if it cannot be read."""
+    if not frame.data:
+        return registry.NewsAnswer(None, 0.0)
+    try:
+        data = zlib.decompress(frame.data) if frame.is_packed else frame.data
+        news = NEWS_DECODER.decode(data)
+    except (zlib.error, msgspec.MsgspecError) as error:
+        raise errors.PeerUnavailable(
+            f'the news of a peer cannot be read ({error}); ask another'
+        ) from error
+    return registry.NewsAnswer(news, frame.as_of_s)
--- a/sesamejunction/decisions/polls.py
+++ b/sesamejunction/decisions/polls.py
@@ -13,6 +13,12 @@
 SMALL_FLEET = 18
 # Shortest wait in a small fleet, as a fraction of the longest.
 MIN_WAIT_FRACTION = 0.2
+# Time between the ends of two reads where a known set of nodes reads for all.
+# Copies of the others get older by up to 1.5 s more until they hear of it.
+READER_INTERVAL_S = 0.4
+# Random part by which the waits of such nodes differ, so that reads that have
+# come to end together move apart again.
+JITTER = 0.1
 # With fewer peers, their reads cannot keep a copy current.
 PEERS_NEEDED = 3
 WAIT_ALONE_S = 1.5
@@ -23,6 +29,10 @@
 # Delays between calls while the log does not answer.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
+# Such delays of nodes that get the topic from peers otherwise. They learn from
+# these when the log answers again.
+FIRST_OTHER_PAUSE_S = 1.0
+LONGEST_OTHER_PAUSE_S = 3.0
 
 
 def choose_wait(peers: int, doubtful: bool, draw) -> float:
@@ -46,6 +56,23 @@
     return min(LONGEST_WAIT_S, -mean_s * math.log(1.0 - draw()))
 
 
-def find_next_pause(pause_s: float) -> float:
+def choose_reader_wait(count: int, rank: int, has_grown: bool, draw) -> float:
+    """Return the seconds that one of ``count`` readers waits for a record.
+
+    ``rank`` is its place among them. A record ends the reads of all of them;
+    after it (``has_grown``) the waits are staggered by rank, and then they
+    are equal, so that the reads go on ending one after the other.
+    """
+    period_s = max(
+        WAIT_ALONE_S, min(LONGEST_WAIT_S, count * READER_INTERVAL_S)
+    )
+    if has_grown:
+        period_s *= (rank + 1) / count
+    return period_s * (1 - JITTER + 2 * JITTER * draw())
+
+
+def find_next_pause(pause_s: float, is_reader: bool = True) -> float:
     """Return the delay after one more failure (exponential backoff)."""
-    return min(LONGEST_PAUSE_S, 2 * pause_s)
+    if is_reader:
+        return min(LONGEST_PAUSE_S, 2 * pause_s)
+    return min(LONGEST_OTHER_PAUSE_S, max(FIRST_OTHER_PAUSE_S, 2 * pause_s))
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -171,6 +171,30 @@
     data: bytes
 
 
+class NewsQuestion(Frame, tag=18):
+    """Requests the changes of a topic, as registry.AskNews.
+
+    It is sent on the connection for large bodies only: a node of an earlier
+    version, which does not know the tag, ends that connection.
+    """
+
+    topic: str
+    end: int
+    wait_ms: int
+
+
+class NewsReply(Frame, tag=19):
+    """Answers NewsQuestion.
+
+    ``data`` is an encoded registry.TopicNews, compressed if ``is_packed``,
+    or empty if there is no copy. ``as_of_s`` as in registry.NewsAnswer.
+    """
+
+    data: bytes
+    is_packed: bool
+    as_of_s: float
+
+
 FRAMES = (
     Hello
     | Work
@@ -189,5 +213,15 @@
     | WorkOffer
     | AskPart
     | BodyPart
+    | NewsQuestion
+    | NewsReply
+)
+REPLIES = (
+    WorkAnswer,
+    WorkRefused,
+    ReleaseReply,
+    CopyReply,
+    LoadReply,
+    NewsReply,
+    Pong,
 )
-REPLIES = (WorkAnswer, WorkRefused, ReleaseReply, CopyReply, LoadReply, Pong)
--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -165,6 +165,44 @@
     end: int = -1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TopicNews:
+    """What a copy lacks up to ``end``: later items and removed keys.
+
+    If ``is_whole``, the items are the whole copy. ``removed`` lists keys with
+    the offsets of their removal.
+    """
+
+    end: int
+    is_whole: bool
+    items: collections.abc.Mapping[str, TopicItem]
+    removed: tuple[tuple[str, int], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskNews:
+    """Requests the news of a topic for a copy that ends at ``end``.
+
+    The reply, a NewsAnswer, waits up to ``wait_s`` seconds for some.
+    """
+
+    topic: str
+    end: int
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsAnswer:
+    """Answers AskNews; ``news`` is None if the answering node has no copy.
+
+    ``as_of_s`` is when the copy was known to be current, in seconds after the
+    question arrived; negative if before.
+    """
+
+    news: TopicNews | None
+    as_of_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Register:
     """Asks the registrar to make a record the newest of its key.
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -1,6 +1,7 @@
 """Actor that follows a keyed topic and tracks how current its copy is."""
 
 import asyncio
+import dataclasses
 import random
 
 import eliot
@@ -8,6 +9,8 @@
 from sesamejunction.border import logs
 from sesamejunction.decisions import polls
 from sesamejunction.decisions import readstalls
+from sesamejunction.decisions import sources as deciding
+from sesamejunction.decisions import topicnews
 from sesamejunction import errors
 from sesamejunction.model import registry
 from sesamejunction.tasks import actor
@@ -17,6 +20,13 @@
 # register at once, each record would otherwise end the long polls of all
 # nodes.
 BATCH_DELAY_S = 0.1
+# Longest wait of a peer for news.
+NEWS_WAIT_S = 1.0
+# A peer is answered before that if the copy is known to be current at a time
+# later by this.
+NEWS_PROGRESS_S = 0.5
+# Longest part by which the clocks of two nodes differ in speed.
+CLOCK_DRIFT = 0.02
 # Interval of checks on the current read while a peer is ahead.
 WATCH_INTERVAL_S = 0.1
 # Interval of these checks otherwise.
@@ -59,9 +69,26 @@
         self.end = end
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asker:
+    """A peer that waits for news.
+
+    ``asked_at`` and ``as_of``, that of this node's copy then, are in
+    boot-clock seconds.
+    """
+
+    end: int
+    asked_at: float
+    as_of: float
+    answer: asyncio.Future
+
+
 class Follower(actor.Actor):
     """Keeps a copy of a topic and sends changes to ``subscribers``.
 
+    It reads the log, or gets the changes from the peer that ``sources``
+    chooses, if given; and it passes them on to peers that ask for news.
+
     Other actors read ``view`` directly; only this actor writes it.
     ``count_peers`` returns the number of reachable peers. ``count_dropped``
     is called with metric labels for each read that was dropped because it
@@ -70,8 +97,21 @@
 
     tick_s = IDLE_S
 
-    def __init__(self, topic, subscribers, count_peers, count_dropped):
+    def __init__(
+        self, topic, subscribers, count_peers, count_dropped, sources=None
+    ):
         super().__init__()
+        self._sources = sources
+        # Source of the read in progress, and the source of the next one in
+        # place of the one chosen for the zone.
+        self._source = deciding.READ_LOG
+        self._next_source = None
+        # The peer that was last heard to be ahead.
+        self._ahead = None
+        self._removed = topicnews.RemovedKeys()
+        self._askers = []
+        # News by the end for which they were built.
+        self._news = {}
         self._count_dropped = count_dropped
         self.name = f'follower {topic.name}'
         self.topic_name = topic.name
@@ -86,6 +126,8 @@
         # Wait time of the latest long poll, and whether to skip the next one.
         self._wait_s = 0.0
         self._skip_wait = False
+        # Whether the latest read of the log has brought records.
+        self._has_grown = True
         self._stall_detector = readstalls.ReadStallDetector()
         self._logger = logs.ThrottledLogger()
         self.view = PositionView()
@@ -97,7 +139,7 @@
                 self._compare_position(message)
             case registry.TakeCopy(copy=copy, as_of=as_of):
                 if self._copy is None or copy.end > self._copy.end:
-                    self._replace_copy(copy)
+                    self._replace_whole(copy)
                     self._advance_as_of(as_of)
                 elif copy.end == self._copy.end:
                     self._advance_as_of(as_of)
@@ -106,6 +148,14 @@
                     self._renew_read()
             case registry.GetCopy():
                 return self._copy
+            case registry.AskNews():
+                return self._take_question(message)
+
+    def start_with(self, copy, as_of) -> None:
+        """Begin with a copy that was read from the log; before ``run``."""
+        self._replace_whole(copy)
+        self._advance_as_of(as_of)
+        self._set_connected(True, '')
 
     async def tick(self) -> None:
         """Check the read in progress; restart it if it seems broken."""
@@ -115,7 +165,9 @@
         if self._read_task is None or self._read_task.done():
             return
         now = clock.read_boot_clock()
-        if self._stall_detector.note_received(now, self._topic.received):
+        if isinstance(self._source, deciding.ReadPeer):
+            self._check_peer_read(now)
+        elif self._stall_detector.note_received(now, self._topic.received):
             self._set_connected(True, '')
         elif self._stall_detector.is_silent(now):
             self._drop_read(now)
@@ -139,44 +191,162 @@
         """Read the topic until cancelled."""
         pause_s = polls.FIRST_PAUSE_S
         while True:
-            self._read_task = asyncio.ensure_future(self._read())
+            self._source = self._choose_source()
+            match self._source:
+                case deciding.ReadPeer():
+                    reading = self._read_peer(self._source)
+                case _:
+                    reading = self._read()
+            self._read_task = asyncio.ensure_future(reading)
             try:
                 await asyncio.wait((self._read_task,))
+                if isinstance(self._source, deciding.ReadPeer):
+                    self._end_peer_read()
+                    continue
                 if self._read_task.cancelled():
                     # tick() or AppendFailed cancelled it to restart it; the
                     # connection may be dead.
                     await self._topic.reconnect()
                     continue
-                has_grown = self._read_task.result()
+                self._has_grown = self._read_task.result()
                 self._stall_detector.note_answer()
                 self._set_connected(True, '')
                 pause_s = polls.FIRST_PAUSE_S
-                if has_grown:
+                if self._has_grown:
                     await asyncio.sleep(
                         BATCH_DELAY_S * random.uniform(0.5, 1.5)
                     )
             except errors.LogUnavailable as error:
                 self._set_connected(False, str(error))
                 await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = polls.find_next_pause(pause_s)
+                pause_s = polls.find_next_pause(pause_s, self._is_reader())
             finally:
                 self._read_task.cancel()
 
+    def _choose_source(self) -> deciding.ReadLog | deciding.ReadPeer:
+        """Return where to read next.
+
+        A copy whose age or contact with the log is in doubt is read from the
+        log, whatever the choice for the zone is. A peer that is known to be
+        ahead is the faster source on a slow line.
+        """
+        if (
+            self._sources is None
+            or self._copy is None
+            or not self._connected
+            or self._skip_wait
+        ):
+            return deciding.READ_LOG
+        ahead, self._next_source = self._next_source, None
+        if ahead is None and self._is_old():
+            if not self._stall_detector.is_behind:
+                return deciding.READ_LOG
+            ahead = self._sources.find_member(self._ahead)
+        return ahead or self._sources.choose(self.topic_name)
+
+    def _is_reader(self) -> bool:
+        """Return whether this node reads the log for its zone."""
+        return self._sources is None or isinstance(
+            self._sources.choose(self.topic_name), deciding.ReadLog
+        )
+
+    async def _read_peer(self, source) -> None:
+        """Ask a peer for news once; raises PeerUnavailable without any."""
+        asked_at = clock.read_boot_clock()
+        self._received_before = self._topic.received
+        self._stall_detector.note_sent(asked_at, self._topic.received)
+        self._wait_s = NEWS_WAIT_S
+        answer = await self._sources.fetch_news(
+            source,
+            registry.AskNews(self.topic_name, self._copy.end, NEWS_WAIT_S),
+        )
+        news = answer.news
+        if news is None or news.end < self._copy.end:
+            raise errors.PeerUnavailable('the peer is behind; ask another')
+        if news.end > self._copy.end:
+            self._take_news(news)
+        # The question arrived after it was asked. The peer's clock may have
+        # measured the time since then too long.
+        drift_s = CLOCK_DRIFT * abs(answer.as_of_s)
+        self._advance_as_of(asked_at + answer.as_of_s - drift_s)
+
+    def _end_peer_read(self) -> None:
+        """Note whether the read from a peer has failed."""
+        if self._read_task.cancelled():
+            return
+        error = self._read_task.exception()
+        if error is None:
+            return
+        if not isinstance(error, errors.SesameError):
+            raise error
+        self._logger.log_message(
+            'journal: no news from peer',
+            topic=self.topic_name,
+            member=self._source.member.name,
+            reason=str(error),
+        )
+        self._sources.note_failed(self._source)
+
+    def _check_peer_read(self, now) -> None:
+        """Leave a peer that is behind others, or whose copy gets old."""
+        if self._stall_detector.is_doubtful(now):
+            self._sources.note_failed(self._source)
+            self._next_source = self._sources.find_member(self._ahead)
+            self._read_task.cancel()
+        elif now - self.view.as_of > polls.RENEW_S:
+            self._renew_read()
+
+    def _take_question(self, question) -> asyncio.Future:
+        """Return the future of the NewsAnswer to a peer."""
+        loop = asyncio.get_running_loop()
+        asker = Asker(
+            question.end,
+            clock.read_boot_clock(),
+            self.view.as_of,
+            loop.create_future(),
+        )
+        if self.view.end > question.end:
+            self._answer_news(asker)
+        else:
+            self._askers.append(asker)
+            loop.call_later(question.wait_s, self._answer_news, asker)
+        return asker.answer
+
+    def _answer_news(self, asker: Asker) -> None:
+        if asker in self._askers:
+            self._askers.remove(asker)
+        if asker.answer.done():
+            return
+        if self._copy is None:
+            asker.answer.set_result(registry.NewsAnswer(None, 0.0))
+            return
+        news = self._news.get(asker.end)
+        if news is None:
+            news = self._news[asker.end] = topicnews.build_news(
+                self._copy, self._removed, asker.end
+            )
+        asker.answer.set_result(
+            registry.NewsAnswer(news, self.view.as_of - asker.asked_at)
+        )
+
+    def _take_news(self, news) -> None:
+        if news.is_whole:
+            self._removed.forget(news.end)
+        for key, offset in news.removed:
+            self._removed.add(key, offset)
+        self._replace_copy(topicnews.apply_news(self._copy, news))
+
     async def _read(self) -> bool:
         """Read once; return whether it brought records."""
         sent_at = self._read_since = clock.read_boot_clock()
         self._received_before = self._topic.received
         self._stall_detector.note_sent(sent_at, self._topic.received)
         if self._copy is None:
-            self._replace_copy(await self._topic.read_newest())
+            self._replace_whole(await self._topic.read_newest())
             self._advance_as_of(sent_at)
             return True
         offset = self._copy.end
-        wait_s = polls.choose_wait(
-            self._count_peers(),
-            self._must_return_at_once(sent_at),
-            random.random,
-        )
+        wait_s = self._choose_wait()
         self._wait_s, self._skip_wait = wait_s, False
         try:
             batch = await self._topic.read(offset, wait_s)
@@ -184,7 +354,7 @@
             self._wait_s = 0.0
             copy = await self._topic.read_newest()
             if copy.end >= self._copy.end:
-                self._replace_copy(copy)
+                self._replace_whole(copy)
             return True
         # A peer's copy, adopted in the meantime, may contain some entries.
         already_folded = self._copy.end - offset
@@ -211,17 +381,38 @@
                 )
             else:
                 items.pop(entry.key, None)
+                self._removed.add(entry.key, offset + index)
         self._replace_copy(registry.TopicCopy(offset + len(entries), items))
 
+    def _replace_whole(self, copy) -> None:
+        """Take a copy that does not tell which keys were removed."""
+        self._removed.forget(copy.end)
+        self._replace_copy(copy)
+
     def _replace_copy(self, copy) -> None:
         self._copy = copy
+        self._news.clear()
         self._stall_detector.note_copy(copy.end)
         self.view.move_to(copy.end)
         for subscriber in self._subscribers:
             subscriber.tell(registry.TopicChanged(self._topic.name, copy))
+        self._answer_askers()
 
     def _advance_as_of(self, as_of) -> None:
-        self.view.as_of = max(self.view.as_of, as_of)
+        if as_of > self.view.as_of:
+            self.view.as_of = as_of
+            self._answer_askers()
+
+    def _answer_askers(self) -> None:
+        """Answer the peers for which there is something new."""
+        loop = asyncio.get_running_loop()
+        for asker in self._askers:
+            if (
+                asker.end < self.view.end
+                or asker.as_of + NEWS_PROGRESS_S <= self.view.as_of
+            ):
+                # Later, since the time of a new copy is set after the copy.
+                loop.call_soon(self._answer_news, asker)
 
     def _compare_position(self, position) -> None:
         if self._copy is None:
@@ -231,18 +422,34 @@
             # older.
             self._advance_as_of(position.as_of)
         else:
+            self._ahead = position.member
             self._stall_detector.note_ahead(
                 clock.read_boot_clock(), position.end
             )
             self.tick_s = WATCH_INTERVAL_S
             self.tick_within(WATCH_INTERVAL_S)
 
-    def _must_return_at_once(self, now) -> bool:
+    def _choose_wait(self) -> float:
+        """Return the seconds that a read of the log waits for a record."""
+        at_once = self._must_return_at_once()
+        if at_once or self._sources is None:
+            return polls.choose_wait(
+                self._count_peers(), at_once, random.random
+            )
+        rank, count = self._sources.find_reader_rank(self.topic_name)
+        return polls.choose_reader_wait(
+            count, rank, self._has_grown, random.random
+        )
+
+    def _must_return_at_once(self) -> bool:
         """Return whether the next read must return at once."""
-        if not self._connected or self._skip_wait:
-            return True
+        return not self._connected or self._skip_wait or self._is_old()
+
+    def _is_old(self) -> bool:
+        """Return whether the copy has to be confirmed by a read at once."""
+        age_s = clock.read_boot_clock() - self.view.as_of
         # Not if the latest read already was one without a wait.
-        return now - self.view.as_of > polls.RENEW_S and self._wait_s > 0.0
+        return age_s > polls.RENEW_S and self._wait_s > 0.0
 
     def _renew_read(self) -> None:
         """Replace a waiting read by one that returns at once.
--- a/sesamejunction/tasks/link.py
+++ b/sesamejunction/tasks/link.py
@@ -96,6 +96,13 @@
             self._schedule_check(self._received_at + SILENCE_LIMIT_S)
         return number, future
 
+    def fail_on_silence(self, number: int) -> None:
+        """Fail an exchange at once if the connection is retired."""
+        future = self._exchanges[number].future
+        self._exchanges[number] = Pending(
+            future, lambda: fail_exchange(future)
+        )
+
     def end_exchange(self, number: int) -> None:
         """Remove an exchange; a later reply to it is ignored."""
         self._exchanges.pop(number, None)
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -75,12 +75,17 @@
         link.end_exchange(number)
 
 
-async def wait_while_arriving(link: linkage.Link, reply: asyncio.Future):
+async def wait_while_arriving(
+    link: linkage.Link, reply: asyncio.Future, wait_s: float = 0.0
+):
     """Wait for a reply as long as its data keeps arriving.
 
-    Raises TimeoutError after ANSWER_IDLE_S without data, or ANSWER_TIMEOUT_S.
+    The peer may take ``wait_s`` before it begins to answer. After that,
+    raises TimeoutError after ANSWER_IDLE_S without data, or ANSWER_TIMEOUT_S.
     """
     loop = asyncio.get_running_loop()
+    if wait_s:
+        await asyncio.wait((reply,), timeout=wait_s)
     ends_at = loop.time() + ANSWER_TIMEOUT_S
     while True:
         done, _ = await asyncio.wait((reply,), timeout=ANSWER_IDLE_S)
@@ -220,20 +225,24 @@
         """Return a member's answer; raises PeerUnavailable if none arrives."""
         if member.incarnation == self._incarnation:
             return await self.answer_locally(message)
-        # A copy of a topic is large and would delay small frames.
-        is_large = isinstance(message, registry.GetCopy)
+        # Copies and news of a topic are large and would delay small frames.
+        is_large = isinstance(message, (registry.GetCopy, registry.AskNews))
         link = await self._connect(member, is_large, ANSWER_IDLE_S)
         number, future = link.start_exchange()
+        wait_s = 0.0
+        if isinstance(message, registry.AskNews):
+            wait_s = message.wait_s
+            link.fail_on_silence(number)
         link.send_frame(linkcodec.encode_question(number, message))
         try:
-            frame = await wait_while_arriving(link, future)
+            frame = await wait_while_arriving(link, future, wait_s)
         except TimeoutError as error:
             raise errors.PeerUnavailable(
                 f'{member.name} gave no answer within {ANSWER_IDLE_S} s'
             ) from error
         finally:
             link.end_exchange(number)
-        return frame if isinstance(frame, linking.CopyReply) else frame.body
+        return linkcodec.decode_question_reply(frame)
 
     async def _connect(self, member, is_bulk, left_s) -> linkage.Link:
         key = member.incarnation, is_bulk
--- a/sesamejunction/ui/hostedqueries.py
+++ b/sesamejunction/ui/hostedqueries.py
@@ -2,6 +2,7 @@
 
 import eliot
 
+from sesamejunction.border import linkcodec
 from sesamejunction import errors
 from sesamejunction.model import leasing
 from sesamejunction.model import linking
@@ -19,6 +20,7 @@
         self._lease = lease
         self._terms = terms
         self._scheduler = scheduler
+        self._news_encoder = linkcodec.NewsEncoder()
         self._followers = {
             topic_follower.topic_name: topic_follower
             for topic_follower in followers
@@ -49,6 +51,8 @@
                     return linking.LoadReply(frame.id, report)
                 case linking.CopyQuestion(topic=topic):
                     return await self._copy_topic(frame.id, topic)
+                case linking.NewsQuestion():
+                    return await self._answer_news(frame)
                 case _:
                     return None
         except errors.SesameError as error:
@@ -63,3 +67,12 @@
         age_s = clock.read_boot_clock() - follower.view.as_of
         copy = await follower.ask(registry.GetCopy())
         return linking.CopyReply(frame_id, copy, age_s)
+
+    async def _answer_news(self, frame):
+        follower = self._followers.get(frame.topic)
+        answer = registry.NewsAnswer(None, 0.0)
+        if follower is not None:
+            answer = await follower.ask(
+                registry.AskNews(frame.topic, frame.end, frame.wait_ms / 1e3)
+            )
+        return self._news_encoder.encode(frame.id, frame.topic, answer)
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -48,6 +48,7 @@
 from sesamejunction.tasks import shares
 from sesamejunction.tasks import targetlease
 from sesamejunction.tasks import terms
+from sesamejunction.tasks import topicsources
 from sesamejunction.tasks import usage
 from sesamejunction.ui import hostedqueries
 
@@ -89,7 +90,7 @@
             operator_store, store.OPERATOR_TOPIC
         )
         self._fleet_topic = store.Topic(fleet_store, store.FLEET_TOPIC)
-        secret = await self._fetch_or_create_secret()
+        secret, copy, copied_at = await self._fetch_or_create_secret()
         self._links = await enter(
             links.Links(
                 self._incarnation, self._host, self._metrics, self._usage
@@ -104,6 +105,7 @@
             )
         )
         self._build_state()
+        self._fleet.start_with(copy, copied_at)
         self._connections = await enter(
             targetconnections.TargetConnectionPool(*self._target_address())
         )
@@ -123,17 +125,23 @@
     def _count_call(self, outcome: str) -> None:
         self._metrics.log_calls.inc({'outcome': outcome})
 
-    async def _fetch_or_create_secret(self) -> bytes:
-        """Return the fleet's secret; the first node to start creates it."""
+    async def _fetch_or_create_secret(self):
+        """Return the fleet's secret; the first node to start creates it.
+
+        Also returns the copy of the fleet's topic that contains it, and the
+        boot-clock time at which that was current.
+        """
         while True:
             try:
+                copied_at = clock.read_boot_clock()
                 copy = await self._fleet_topic.read_newest()
                 item = copy.items.get('secret')
                 if item is not None:
                     secret_record = registrycodec.decode_record(
                         'secret', item.value
                     )
-                    return bytes.fromhex(secret_record.secret)
+                    secret = bytes.fromhex(secret_record.secret)
+                    return secret, copy, copied_at
                 record = registry.SecretRecord(secrets.token_hex(SECRET_BYTES))
                 entry = registry.Entry(
                     'secret', registrycodec.encode_record(record)
@@ -164,6 +172,13 @@
         )
         count_members = self._presence_view.count_reachable
         count_dropped_read = self._metrics.reads_dropped.inc
+        sources = topicsources.TopicSources(
+            self._incarnation,
+            self._settings.zone,
+            self._states,
+            self._presence_view,
+            self._links,
+        )
         # Both followers publish to the registry, which is added once built.
         self._declared_subscribers = []
         self._declared = follower.Follower(
@@ -171,12 +186,14 @@
             self._declared_subscribers,
             count_members,
             count_dropped_read,
+            sources,
         )
         self._fleet = follower.Follower(
             self._fleet_topic,
             self._declared_subscribers,
             count_members,
             count_dropped_read,
+            sources,
         )
         self._fetchers = tuple(
             copyfetcher.CopyFetcher(topic_follower, self._links)
--- a/test/storemodel.py
+++ b/test/storemodel.py
@@ -14,6 +14,8 @@
 import selectors
 import types
 
+from sesamejunction.commands import ports as porting
+from sesamejunction.decisions import sources
 from sesamejunction import errors
 from sesamejunction.model import leasing
 from sesamejunction.model import packets
@@ -24,10 +26,12 @@
 from sesamejunction.tasks import clock
 from sesamejunction.tasks import copyfetcher
 from sesamejunction.tasks import follower
+from sesamejunction.tasks import link
 from sesamejunction.tasks import presence
 from sesamejunction.tasks import rangeplanner
 from sesamejunction.tasks import registrar
 from sesamejunction.tasks import targetlease
+from sesamejunction.tasks import topicsources
 from sesamejunction.ui import hostedwiring
 
 SERVICE = 'lookup'
@@ -44,6 +48,7 @@
 LINE_BYTES = 625_000
 PIECE_S = 0.05
 HEARTBEAT_S = 1.0
+ZONES = 'abc'
 SAMPLE_S = 0.1
 
 
@@ -208,9 +213,20 @@
         }
         self.view = presence.PresenceView()
         self._subscribers = []
+        self.zone = ZONES[number % len(ZONES)]
+        self.states = porting.StateView()
+        # Whether peers get no answer, as from a frozen process.
+        self.is_frozen = False
+        self.sources = topicsources.TopicSources(
+            *(self.incarnation, self.zone, self.states, self.view, self)
+        )
         self.followers = tuple(
             follower.Follower(
-                one, self._subscribers, self.view.count_reachable, self._drop
+                one,
+                self._subscribers,
+                self.view.count_reachable,
+                self._drop,
+                self.sources,
             )
             for one in self._topics.values()
         )
@@ -218,7 +234,8 @@
         self._registrar = registrar.Registrar(appending, self.followers[1])
         self.lease = targetlease.TargetLease(
             targetlease.Identity(
-                *(self.name, self.incarnation, 'a', '10.0.0.1', 1, SERVICE)
+                *(self.name, self.incarnation, self.zone),
+                *('10.0.0.1', 1, SERVICE),
             ),
             *(self.followers[1].view, self._registrar, self, fleet),
         )
@@ -234,7 +251,8 @@
         )
         readers = (self.lease, self._planner, self.presence)
         registering = registrar.Registry(
-            store.FLEET_TOPIC, config.OperatorTopicDecoder(), readers
+            *(store.FLEET_TOPIC, config.OperatorTopicDecoder()),
+            (self.states, *readers),
         )
         self._subscribers.append(registering)
         self._tasks = (
@@ -255,7 +273,20 @@
         pair = self.incarnation, member.incarnation
         if not all(self._fleet.reaches(*one) for one in (pair, pair[::-1])):
             raise errors.PeerUnavailable('cut off; ask another')
-        return await self._fleet.find(member.incarnation).answer(message)
+        peer = self._fleet.find(member.incarnation)
+        if peer.is_frozen:
+            await asyncio.sleep(2 * link.SILENCE_LIMIT_S)
+            raise errors.PeerUnavailable('silent; ask another')
+        answer = await peer.answer(message)
+        if isinstance(message, registry.AskNews):
+            await self._bring_news(peer, answer)
+        return answer
+
+    async def _bring_news(self, peer, answer):
+        """Let news take their time on the peer's line; configs shrink."""
+        size = sum(len(one.value) for one in answer.news.items.values()) / 10
+        self._fleet.log.calls['news bytes'] += size
+        await asyncio.sleep(DATAGRAM_TAKES_S + size / peer.line.rate)
 
     async def answer(self, message):
         """Answer a peer's question."""
@@ -268,6 +299,10 @@
                 return types.SimpleNamespace(
                     body=copy, age=clock.read_boot_clock() - as_of
                 )
+            case registry.AskNews(topic=topic):
+                self._fleet.log.calls['news'] += 1
+                place = list(self._topics).index(topic)
+                return await self.followers[place].ask(message)
             case leasing.AskRelease():
                 return await self.lease.ask(message)
         raise errors.PeerUnavailable('not modelled; ask another')
@@ -278,7 +313,11 @@
         start = types.SimpleNamespace(
             _fleet_topic=self._topics[store.FLEET_TOPIC]
         )
-        await hostedwiring.HostedComponents._fetch_or_create_secret(start)
+        (
+            _,
+            *copied,
+        ) = await hostedwiring.HostedComponents._fetch_or_create_secret(start)
+        self.followers[1].start_with(*copied)
         async with asyncio.TaskGroup() as group:
             for one in self._tasks:
                 group.create_task(one.run())
@@ -451,6 +490,51 @@
     return steps
 
 
+async def freeze_readers(fleet):
+    """Freeze both readers of a zone while the config changes, three times."""
+    waits = []
+    for version in range(40, 43):
+        members = fleet.nodes[0].states.current.members
+        frozen = [
+            one
+            for one in fleet.nodes
+            if one.zone == 'a'
+            and one.incarnation
+            in sources.list_readers(members, store.OPERATOR_TOPIC)
+        ]
+        ids = {one.incarnation for one in frozen}
+        fleet.reaches = lambda sender, receiver: (
+            sender not in ids and receiver not in ids
+        )
+        for one in frozen:
+            one.is_frozen, one.line.state = True, 'silent'
+        await asyncio.sleep(fleet.draw.uniform(0.0, 1.0))
+        end = fleet.write_config(version) + 1
+        others = [one for one in fleet.nodes if one not in frozen]
+        waits.append(await fleet.wait_until_read(0, end, others))
+        await asyncio.sleep(3.0)
+        fleet.reaches = lambda sender, receiver: True
+        for one in frozen:
+            one.is_frozen, one.line.state = False, 'open'
+        await asyncio.sleep(6.0)
+    return waits
+
+
+async def refuse_zone(fleet):
+    """Let the store refuse a whole zone while the config changes."""
+    waits = []
+    zone = [one for one in fleet.nodes if one.zone == 'b']
+    for one in zone:
+        one.line.state = 'refused'
+    for version in range(50, 56):
+        await asyncio.sleep(fleet.draw.uniform(1.0, 4.0))
+        end = fleet.write_config(version) + 1
+        waits.append(await fleet.wait_until_read(0, end, zone))
+    for one in zone:
+        one.line.state = 'open'
+    return waits
+
+
 async def write_large(fleet):
     """Write a configuration of 250,000 bytes while most lines are busy."""
     for number, one in enumerate(fleet.nodes):
@@ -482,6 +566,8 @@
     'one refused': cut_off('refused'),
     'one silent': cut_off('silent'),
     'large': write_large,
+    'frozen readers': freeze_readers,
+    'zone refused': refuse_zone,
 }
 
 
--- /dev/null
+++ b/test/test_sources.py
@@ -0,0 +1,164 @@
+"""Which nodes read a topic from the log, and how changes reach the others."""
+
+import collections
+
+import pytest
+
+from sesamejunction.border import linkcodec
+from sesamejunction.decisions import sources
+from sesamejunction.decisions import topicnews
+from sesamejunction.model import registry
+from sesamejunction.model import state
+from test import storemodel
+
+TOPIC = 'a topic'
+
+
+def make_members(sizes, stopping=()):
+    """Return members of zones with these sizes."""
+    zones = [zone for zone, size in enumerate(sizes) for _ in range(size)]
+    return {
+        number: state.Member(
+            *(number, f'n{number}', f'z{zone}', '10.0.0.1', 1, 2, 1, 's', 1),
+            *(1, True),
+            stopping=number in stopping,
+        )
+        for number, zone in enumerate(zones, 1)
+    }
+
+
+def choose(members, own, excluded=frozenset()):
+    zone = members[own].zone
+    return sources.choose_source(members, own, zone, TOPIC, excluded)
+
+
+# Guards against calls to the log that grow with the number of nodes, and
+# against a node that passes changes on to many. Columns: sizes of the zones,
+# readers, most steps from a reader to a node.
+@pytest.mark.parametrize(
+    ('sizes', 'readers', 'steps'),
+    [
+        pytest.param([1], 1, 0, id='one node'),
+        pytest.param([2, 1], 3, 0, id='small zones'),
+        pytest.param([4, 4, 4], 6, 1, id='12 nodes'),
+        pytest.param([39] * 5, 10, 3, id='195 nodes'),
+        pytest.param([91] * 22, 44, 3, id='2,002 nodes'),
+    ],
+)
+def test_few_nodes_of_a_zone_read_the_log(sizes, readers, steps):
+    members = make_members(sizes)
+    found = sources.list_readers(members, TOPIC)
+    assert len(found) == readers
+    # All zones are alike, so one of them is followed whole.
+    parents = {
+        number: choose(members, number)
+        for number, member in members.items()
+        if member.zone == 'z0'
+    }
+    children = collections.Counter()
+    for number, source in parents.items():
+        assert (source is sources.READ_LOG) is (number in found)
+        count = 0
+        while isinstance(source, sources.ReadPeer):
+            assert source.member.zone == members[number].zone
+            children[source.member.incarnation] += count == 0
+            source = parents[source.member.incarnation]
+            count += 1
+        assert count <= steps
+    assert max(children.values(), default=0) <= sources.FAN_OUT
+
+
+@pytest.mark.parametrize('lost', ['silent', 'stopping', 'gone'])
+def test_lost_readers_are_replaced(lost):
+    """Guards against a zone that waits for a reader that does not answer."""
+    members = make_members([9])
+    gone = set(sources.list_readers(members, TOPIC))
+    left = members.keys() - gone
+    excluded = frozenset()
+    match lost:
+        case 'silent':
+            excluded = gone
+        case 'stopping':
+            members = make_members([9], gone)
+        case 'gone':
+            members = {one: members[one] for one in left}
+    chosen = {number: choose(members, number, excluded) for number in left}
+    assert list(chosen.values()).count(sources.READ_LOG) == 2
+    for source in chosen.values():
+        if source is not sources.READ_LOG:
+            assert source.member.incarnation in left
+
+
+def item(offset):
+    return registry.TopicItem(offset, b'%d' % offset)
+
+
+COPY = registry.TopicCopy(5, {'a': item(1), 'b': item(4)})
+NEWER = registry.TopicCopy(9, {'b': item(7), 'c': item(8)})
+
+
+# Guards against keys that stay although they were removed, and against an
+# older value that replaces a newer one. Columns: the copy that gets the news,
+# the end for which they were asked, removals that the peer remembers.
+@pytest.mark.parametrize(
+    ('copy', 'asked', 'known'),
+    [
+        pytest.param(COPY, 5, True, id='changes'),
+        pytest.param(COPY, 5, False, id='whole, removals unknown'),
+        pytest.param(registry.TopicCopy(-1, {}), -1, False, id='from nothing'),
+        pytest.param(
+            registry.TopicCopy(8, {'b': item(7)}), 5, True, id='grown since'
+        ),
+    ],
+)
+def test_news_bring_a_copy_up_to_date(copy, asked, known):
+    removed = topicnews.RemovedKeys()
+    removed.add('a', 6)
+    if not known:
+        removed.forget(9)
+    news = topicnews.build_news(NEWER, removed, asked)
+    assert news.is_whole is not known
+    frame = linkcodec.NewsEncoder().encode(
+        1, TOPIC, registry.NewsAnswer(news, 1.5)
+    )
+    answer = linkcodec.decode_news(frame)
+    assert answer.as_of_s == 1.5
+    assert topicnews.apply_news(copy, answer.news) == NEWER
+
+
+def test_removed_keys_are_bounded(monkeypatch):
+    """Guards against memory for each key that was ever removed."""
+    monkeypatch.setattr(topicnews, 'MAX_REMOVED', 3)
+    removed = topicnews.RemovedKeys()
+    for offset in range(9):
+        removed.add(f'k{offset}', offset)
+    assert [offset for _, offset in removed.list_since(0)] == [6, 7, 8]
+    assert topicnews.build_news(NEWER, removed, 5).is_whole
+    assert not topicnews.build_news(NEWER, removed, 6).is_whole
+
+
+# Calls for two topics in half a minute: one in 0.4 s, and a tenth for reads
+# that a copy of unknown age needs.
+CALM_CALLS = 2 * 30 / 0.4 * 1.1
+
+
+# Guards against calls to the log that grow with the number of nodes, and
+# against changes that reach a zone late because its readers are frozen or cut
+# off. Columns: phase, longest time until all others have a change, calls, age
+# of the oldest copy (that of frozen nodes gets old).
+@pytest.mark.parametrize('count', [12, 58])
+@pytest.mark.parametrize(
+    ('name', 'longest_s', 'most_calls', 'oldest_s'),
+    [
+        pytest.param('calm', 0.0, CALM_CALLS, 2.5, id='calm'),
+        pytest.param('frozen readers', 1.5, 330, 9.0, id='frozen readers'),
+        pytest.param('zone refused', 1.5, 600, 2.5, id='zone cut from log'),
+    ],
+)
+def test_calls_do_not_grow_with_the_fleet(
+    count, name, longest_s, most_calls, oldest_s
+):
+    _, _, phase = storemodel.run_model(count, 3, ('start', 'settle', name))
+    assert phase.total <= most_calls
+    assert max(phase.waits, default=0.0) <= longest_s
+    assert phase.ages[-1] <= oldest_s
