Grant tokens at once when an allocator's node has restarted

Where the former allocators of a place are earlier processes of the same member, they had ended before this process started. The time of holding back and the growth of the pool now count from there; the property test of rate and burst restarts the allocator as well. While no allocator answers, a request waits up to 0.75 s for a token (0.25 s before), and its refusal no longer says that the organisation is over its rate.

--- a/sesamejunction/commands/requests.py
+++ b/sesamejunction/commands/requests.py
@@ -27,6 +27,14 @@
 # long as the previous one, up to LONGEST_PAUSE_S.
 FIRST_PAUSE_S = 0.01
 LONGEST_PAUSE_S = 0.1
+OVER_RATE = (
+    requests.Code.OVER_RATE,
+    'the organisation is over its rate; retry later',
+)
+RATE_NOT_CHECKED = (
+    requests.Code.OVERLOADED,
+    "the organisation's rate cannot be checked now; retry later",
+)
 RETRY_REASONS = {
     attempts.Late: choosing.RetryReason.LATE,
     attempts.Silent: choosing.RetryReason.SILENT,
@@ -159,12 +167,10 @@
         match token_reply:
             case sharing.TokenTaken(receipt=receipt):
                 self._token_receipt = receipt
-            case sharing.OverRate(retry_after_s, inputs):
+            case sharing.OverRate(retry_after_s, inputs, is_certain):
+                code, reason = OVER_RATE if is_certain else RATE_NOT_CHECKED
                 self._refusal = refuse(
-                    requests.Code.OVER_RATE,
-                    'the organisation is over its rate; retry later',
-                    retry_after_s=retry_after_s,
-                    inputs=inputs,
+                    code, reason, retry_after_s=retry_after_s, inputs=inputs
                 )
                 return attempts.Rejected()
         return attempts.Admitted()
--- a/sesamejunction/decisions/tokenallocator.py
+++ b/sesamejunction/decisions/tokenallocator.py
@@ -108,16 +108,21 @@
         self._pools = {}
         self._replies = {}
 
-    def open_pool(self, organisation, quota, term, now: float) -> None:
+    def open_pool(
+        self, organisation, quota, term, now: float, former_ended_at=None
+    ) -> None:
         """Create an organisation's pool, or update it in the same term.
 
         In a new term the pool starts empty, and its level grows slowly until
-        all grants of former allocators have expired.
+        all grants of former allocators have expired. If it is known that none
+        of them has granted anything since ``former_ended_at``, both count
+        from that time.
         """
         pool = self._pools.get(organisation)
         if pool is None or not continues_term(pool.term, term):
+            since = now if former_ended_at is None else former_ended_at
             self._pools[organisation] = Pool(
-                term, quota, now, now + HOLD_BACK_S
+                term, quota, since, since + HOLD_BACK_S
             )
         else:
             pool.term, pool.quota = term, quota
--- a/sesamejunction/decisions/tokenholder.py
+++ b/sesamejunction/decisions/tokenholder.py
@@ -27,6 +27,9 @@
 QUEUED_GRANTS_S = 0.2
 MIN_QUEUE = 64
 MAX_WAIT_S = 0.25
+# Longest wait while no allocator answers: after a restart of all nodes the
+# first ones grant tokens within this time.
+UNANSWERED_WAIT_S = 0.75
 # An organisation that got less than it requested within this time exceeds its
 # rate, so most waiting requests would get no token.
 SHORTAGE_S = 0.5
@@ -134,6 +137,22 @@
         least = SHORTAGE_QUEUE if is_short else MIN_QUEUE
         return account.waiting < max(least, expected)
 
+    def is_answered(self, name: str) -> bool:
+        """Return whether the organisation's allocator answers.
+
+        While it does not, as after a restart of all nodes, the organisation
+        may be within its rate.
+        """
+        account = self.accounts[name]
+        if account.allocator is None:
+            return False
+        session = self._sessions.get(account.allocator)
+        return (
+            session is not None
+            and session.received > 0
+            and account.unanswered_requests < MAX_MISSES
+        )
+
     def is_empty(self, name: str, now: float) -> bool:
         """Return whether the organisation's bucket is empty.
 
--- a/sesamejunction/model/owning.py
+++ b/sesamejunction/model/owning.py
@@ -57,13 +57,15 @@
     target later. ``work_end`` is the time by which the target must have
     abandoned it. ``owned_since`` is the wall-clock time from which the
     idempotency records of this node are complete; keys created earlier may
-    have run elsewhere.
+    have run elsewhere. ``former_ended_at`` is a boot-clock time by which all
+    former owners had ended, None if that is not known.
     """
 
     token: requests.Token
     lease_end: float
     work_end: float
     owned_since: float
+    former_ended_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/model/sharing.py
+++ b/sesamejunction/model/sharing.py
@@ -30,11 +30,14 @@
 class OverRate:
     """The node has no token left; ``retry_after_s`` is a hint.
 
-    ``inputs`` are named values that the decision was based on.
+    ``inputs`` are named values that the decision was based on. ``is_certain``
+    is false if no allocator has answered, so that the organisation may be
+    within its rate.
     """
 
     retry_after_s: float
     inputs: tuple[tuple[str, float], ...] = ()
+    is_certain: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/tasks/allocators.py
+++ b/sesamejunction/tasks/allocators.py
@@ -135,7 +135,9 @@
         if now >= serving.lease_end:
             return False
         quota = shares.split_shared_quota(organisation, self._state.fleet)
-        self._allocator.open_pool(name, quota, serving.token, now)
+        self._allocator.open_pool(
+            name, quota, serving.token, now, serving.former_ended_at
+        )
         return True
 
     def _send(self, request, reply) -> None:
--- a/sesamejunction/tasks/shares.py
+++ b/sesamejunction/tasks/shares.py
@@ -155,13 +155,15 @@
         if message.deadline <= now or not self._holder.may_wait(name, now):
             self._refused += 1
             return self._refuse(name, now)
-        waiter = self._create_waiter(message.deadline, now)
+        waiter = self._create_waiter(name, message.deadline, now)
         self._waiting[name].append(waiter)
         self._holder.accounts[name].waiting += 1
         self._request_tokens(name, now)
         return waiter
 
-    def _create_waiter(self, deadline: float, now: float) -> asyncio.Future:
+    def _create_waiter(
+        self, name: str, deadline: float, now: float
+    ) -> asyncio.Future:
         """Return a future that resolves to a refusal after the longest wait.
 
         Only waiting requests get a timer, since asyncio.timeout around every
@@ -169,16 +171,35 @@
         """
         loop = asyncio.get_running_loop()
         waiter = loop.create_future()
-        limit_s = min(
-            tokenholder.MAX_WAIT_S, (deadline - now) * MAX_WAIT_SHARE
+        longest_s = (
+            tokenholder.MAX_WAIT_S
+            if self._holder.is_answered(name)
+            else tokenholder.UNANSWERED_WAIT_S
         )
-        timer = loop.call_later(limit_s, _end_wait, waiter, now)
+        limit_s = min(longest_s, (deadline - now) * MAX_WAIT_SHARE)
+        timer = loop.call_later(limit_s, self._end_wait, name, waiter, now)
         waiter.add_done_callback(lambda _: timer.cancel())
         return waiter
 
     def _refuse(self, name: str, now: float) -> sharing.OverRate:
         return sharing.OverRate(
-            RETRY_AFTER_S, self._holder.list_refusal_inputs(name, now)
+            RETRY_AFTER_S,
+            self._holder.list_refusal_inputs(name, now),
+            self._holder.is_answered(name),
+        )
+
+    def _end_wait(self, name, waiter: asyncio.Future, since: float) -> None:
+        """Refuse a request that has waited for a token as long as it may."""
+        if waiter.done():
+            return
+        waited_s = round(clock.read_boot_clock() - since, 3)
+        is_certain = (
+            name not in self._holder.accounts or self._holder.is_answered(name)
+        )
+        waiter.set_result(
+            sharing.OverRate(
+                RETRY_AFTER_S, (('waited_s', waited_s),), is_certain
+            )
         )
 
     def _handle_reply(self, reply, now: float) -> None:
@@ -246,12 +267,3 @@
             for waiter in self._waiting.pop(name):
                 if not waiter.done():
                     waiter.set_result(sharing.OverRate(RETRY_AFTER_S))
-
-
-def _end_wait(waiter: asyncio.Future, since: float) -> None:
-    """Refuse a request that has waited for a token as long as it may."""
-    if not waiter.done():
-        waited_s = round(clock.read_boot_clock() - since, 3)
-        waiter.set_result(
-            sharing.OverRate(RETRY_AFTER_S, (('waited_s', waited_s),))
-        )
--- a/sesamejunction/tasks/terms.py
+++ b/sesamejunction/tasks/terms.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import time
 
 import eliot
@@ -27,13 +28,25 @@
     allocator of a slot waits until the former ones have stopped: they confirm
     it, a later process replaces them, or the time has passed in which they
     may allocate without news from the log. ``position`` is the view of the
-    fleet topic's follower.
+    fleet topic's follower. ``started_at`` is the boot-clock time at which
+    this process started, after the one that ran under ``member_name`` before.
     """
 
     name = 'terms'
 
-    def __init__(self, incarnation: int, position, links):
+    def __init__(
+        self,
+        incarnation: int,
+        position,
+        links,
+        member_name: str = '',
+        started_at: float = math.inf,
+    ):
         super().__init__()
+        self._member_name = member_name
+        self._started_at = started_at
+        # Incarnations of this member that were registered before this one.
+        self._predecessors = set()
         self._incarnation = incarnation
         self._position = position
         self._links = links
@@ -63,6 +76,12 @@
 
     def _apply_state(self, current, now) -> None:
         self._state = current
+        self._predecessors |= {
+            member.incarnation
+            for member in current.members.values()
+            if member.name == self._member_name
+            and member.incarnation != self._incarnation
+        }
         if current.allocators is None:
             return
         places = {
@@ -123,7 +142,23 @@
             return owning.NotServing(None, epoch)
         as_of = self._position.find_as_of(self._state.offset)
         end = as_of + deciding.AUTHORITY_S
-        return owning.Serving(requests.Token(epoch, 0), end, end, time.time())
+        return owning.Serving(
+            *(requests.Token(epoch, 0), end, end, time.time()),
+            self._find_former_end(epoch),
+        )
+
+    def _find_former_end(self, epoch) -> float | None:
+        """Return when all former allocators of a place had ended, if known.
+
+        Those that ran as this member ended before this process started.
+        """
+        places = self._state.allocators and self._state.allocators.places
+        for place in places or ():
+            if place.epoch == epoch and self._predecessors.issuperset(
+                place.previous
+            ):
+                return self._started_at
+        return None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -51,6 +51,7 @@
 from sesamejunction.tasks import topicsources
 from sesamejunction.tasks import usage
 from sesamejunction.ui import hostedqueries
+from sesamejunction.ui import loading
 
 # Limit of requests that wait at this node while their key changes owner.
 MAX_WAITING = 256
@@ -200,7 +201,8 @@
             for topic_follower in (self._declared, self._fleet)
         )
         self._terms = terms.Terms(
-            self._incarnation, self._fleet.view, self._links
+            *(self._incarnation, self._fleet.view, self._links),
+            *(self._settings.name, loading.STARTED_AT),
         )
         self._allocators = allocators.Allocators(
             self._incarnation, self._terms, self._datagrams
--- a/test/sharing.py
+++ b/test/sharing.py
@@ -40,6 +40,9 @@
         self.admitted = []
         self._incarnation = 0
         self._epoch = 1
+        # When the process that owned the slot before as the same member
+        # ended; None if another member may have owned it since.
+        self._former_ended_at = None
         self.owner = None
         for _ in range(3):
             self.join()
@@ -71,8 +74,18 @@
         self.leave(node_id)
         self.join()
 
+    def restart_owner(self, _node_id):
+        """Replace the owner's process; its pool opens with a request."""
+        del self.nodes[self.owner]
+        self._former_ended_at = self.now
+        self._epoch += 2
+        self.join()
+        self.owner = self._incarnation
+        self._update()
+
     def fail_over(self, node_id):
         self.owner = node_id
+        self._former_ended_at = None
         # Two epochs, since a member that owns the slot and is first in the
         # next epoch's order would keep its bucket.
         self._epoch += 2
@@ -86,6 +99,9 @@
             shares.split_shared_quota(ORGANISATION, FLEET),
             requests.Token(self._epoch, 0),
             self.now + node.offset,
+            None
+            if self._former_ended_at is None
+            else self._former_ended_at + node.offset,
         )
 
     def advance(self, seconds):
