Let one node of a small zone read the log

A zone of fewer than 16 members has one now; the next in the order takes over when it is silent. Reads end every 0.5 s.

--- a/sesamejunction/decisions/polls.py
+++ b/sesamejunction/decisions/polls.py
@@ -15,7 +15,7 @@
 MIN_WAIT_FRACTION = 0.2
 # Time between the ends of two reads where a known set of nodes reads for all.
 # Copies of the others get older by up to 1.5 s more until they hear of it.
-READER_INTERVAL_S = 0.4
+READER_INTERVAL_S = 0.5
 # Random part by which the waits of such nodes differ, so that reads that have
 # come to end together move apart again.
 JITTER = 0.1
--- a/sesamejunction/decisions/sources.py
+++ b/sesamejunction/decisions/sources.py
@@ -13,9 +13,11 @@
 from sesamejunction.decisions import hashing
 from sesamejunction.model import state
 
-# Members of a zone that read a topic. With one, the whole zone would wait for
-# a replacement when it fails.
-READERS_PER_ZONE = 2
+# Members of a zone that read a topic. In a large zone a second one halves the
+# number of nodes that wait for a replacement when one fails.
+READERS_PER_ZONE = 1
+READERS_PER_LARGE_ZONE = 2
+LARGE_ZONE = 16
 # Members that get changes from the same one. More would have to share its
 # line, less would mean more steps: three carry a change to 170 members.
 FAN_OUT = 4
@@ -56,10 +58,15 @@
         and member_id != own
     ]
     order = hashing.rank_members(topic, (*candidates, own))
-    place = order.index(own)
-    if place < READERS_PER_ZONE:
+    place, readers = order.index(own), count_readers(len(order))
+    if place < readers:
         return READ_LOG
-    return ReadPeer(members[order[(place - READERS_PER_ZONE) // FAN_OUT]])
+    return ReadPeer(members[order[(place - readers) // FAN_OUT]])
+
+
+def count_readers(size: int) -> int:
+    """Return how many of a zone's members read a topic from the log."""
+    return READERS_PER_LARGE_ZONE if size >= LARGE_ZONE else READERS_PER_ZONE
 
 
 def list_readers(
@@ -74,6 +81,6 @@
         member_id
         for zone_members in zones.values()
         for member_id in hashing.rank_members(topic, zone_members)[
-            :READERS_PER_ZONE
+            : count_readers(len(zone_members))
         ]
     )
