Read the platform's limits from the rendered settings

The platform renders the table of limits as JSON, which stood in double quotes in the settings file: the line could not be parsed (a message of python-dotenv at each start), and every node kept the defaults of all limits, 60 retries and 6 s of grace, whatever the deployment.

test_limits_are_read_from_the_rendered_template[table] failed before (60 instead of 430 retries).

--- a/sesamejunction/border/hostedsettings.py
+++ b/sesamejunction/border/hostedsettings.py
@@ -92,7 +92,8 @@
     bounds: str = pydantic.Field(
         default='',
         description='limits of the platform, as NAME=VALUE separated by'
-        ' commas; defaults apply to limits that are not listed',
+        ' commas or as a JSON object; defaults apply to limits that are not'
+        ' listed',
     )
     stop_limit_s: float = pydantic.Field(
         default=5.0,
--- a/sesamejunction/platform/bounds.py
+++ b/sesamejunction/platform/bounds.py
@@ -1,6 +1,7 @@
 """Decodes the limits that the platform sets for all nodes together."""
 
 import eliot
+import msgspec
 import pydantic
 
 from sesamejunction.decisions import retrybudget
@@ -39,7 +40,7 @@
 
 
 def decode_retry_limits(text: str) -> retrybudget.Limits:
-    """Return the limits of retries in a text of NAME=VALUE pairs."""
+    """Return the limits of retries; ``text`` as for decode_bounds."""
     bounds = decode_bounds(text)
     return retrybudget.Limits(
         bounds.retry_ratio, bounds.retry_window_s, bounds.fixed_retries
@@ -52,13 +53,13 @@
 
 
 def decode_bounds(text: str) -> Bounds:
-    """Return the limits in a text of NAME=VALUE pairs.
+    """Return the limits in a text of NAME=VALUE pairs or a JSON object.
 
-    An unreadable limit is logged and has its default: a node that retries too
-    little still serves its callers.
+    A template gets a table, which is rendered as JSON. An unreadable limit is
+    logged and has its default: a node that retries too little still serves
+    its callers.
     """
-    pairs = (pair.partition('=') for pair in text.split(PAIR_SEPARATOR))
-    values = {name.strip(): value.strip() for name, _, value in pairs}
+    values = split_bounds(text)
     try:
         return Bounds.model_validate(values)
     except pydantic.ValidationError as error:
@@ -72,3 +73,18 @@
         )
         del values[name]
     return Bounds.model_validate(values)
+
+
+def split_bounds(text: str) -> dict:
+    """Return the values by name, as text or as JSON values."""
+    if text.lstrip().startswith('{'):
+        try:
+            return msgspec.json.decode(text, type=dict)
+        except msgspec.MsgspecError as error:
+            eliot.log_message(
+                'node: limits unreadable, using the defaults',
+                reason=str(error),
+            )
+            return {}
+    pairs = (pair.partition('=') for pair in text.split(PAIR_SEPARATOR))
+    return {name.strip(): value.strip() for name, _, value in pairs}
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -4,7 +4,9 @@
 import collections
 import dataclasses
 import json
+import pathlib
 import random
+import re
 import time
 import types
 
@@ -21,6 +23,7 @@
 from sesamejunction.model import registry
 from sesamejunction.model import routing
 from sesamejunction.model import state
+from sesamejunction.platform import bounds
 from sesamejunction.platform import config
 from sesamejunction.platform import frontend
 from sesamejunction.platform import heartbeathttp
@@ -550,6 +553,33 @@
     assert loaded.parse_address('log').port == 90
 
 
+# Guards against limits that are never read because the file of settings cannot
+# be parsed: the platform renders a table as JSON, a list with commas. Before,
+# the JSON stood in double quotes, and each node kept the defaults.
+@pytest.mark.parametrize(
+    'rendered',
+    [
+        pytest.param('{"strictRevoke":true,"retrySlack":430}', id='table'),
+        pytest.param('strictRevoke=true,retrySlack=430', id='list'),
+    ],
+)
+def test_limits_are_read_from_the_rendered_template(
+    rendered, monkeypatch, tmp_path
+):
+    template = pathlib.Path(__file__).parent.parent / 'deploy/node.settings'
+    values = {**VARIABLES, 'BOUNDS': rendered}
+    text = re.sub(
+        r'_([A-Z_]+)=(.)\{\{.*\}\}',
+        lambda line: f'_{line[1]}={line[2]}{values.get(line[1], "")}',
+        template.read_text(),
+    )
+    path = tmp_path / 'node.settings'
+    path.write_text(text)
+    monkeypatch.setenv('SESAMEJUNCTION_SETTINGS', str(path))
+    loaded = hostedsettings.read_hosted_settings({})
+    assert bounds.decode_retry_limits(loaded.bounds).fixed == 430.0
+
+
 SPEEDS = {'given': ('5.0', 5.0), 'empty': ('', 0.0), 'absent': (None, 0.0)}
 
 
--- a/test/test_retrybudget.py
+++ b/test/test_retrybudget.py
@@ -238,6 +238,8 @@
             retrybudget.Limits(0.1, 5.0, 30.0),
         ),
         ('strictRevoke=true,retrySlack=0', retrybudget.Limits(fixed=0.0)),
+        ('{"retrySlack":30,"ackS":4}', retrybudget.Limits(fixed=30.0)),
+        ('{"retrySlack":', LIMITS),
         ('retryBudgetRatio=much', LIMITS),
         ('retryBudgetRatio=inf', LIMITS),
         ('budgetWindowS=0', LIMITS),
