--- a/sesamejunction/decisions/rangeplanning.py
+++ b/sesamejunction/decisions/rangeplanning.py
@@ -3,6 +3,7 @@
 A life is one run of a target's process.
 """
 
+import bisect
 import collections
 import dataclasses
 
@@ -24,24 +25,36 @@
 # Below this total rate, in requests a second, the measurement is too coarse.
 MIN_TOTAL_RATE = 4.0
 # Moves in one plan; each one interrupts service of the moved keys briefly.
-MAX_MOVES = 8
+# With many targets, more of them are overloaded at the same time.
+MIN_MOVES_LIMIT = 8
+MOVES_PER_TARGET = 0.5
 
 
 @dataclasses.dataclass(slots=True)
 class OwnerLoad:
     """Load of one life, in requests a second.
 
-    ``segments`` holds the first key, last key and rate of each segment.
+    ``segments`` holds the first key, last key and rate of each segment,
+    ``rate`` is their sum.
     """
 
     life: ranges.Life
     capacity: float
     segments: list[tuple[int, int, float]]
+    rate: float = 0.0
 
-    @property
-    def rate(self) -> float:
-        """Return the requests a second over all keys."""
-        return sum(rate for _, _, rate in self.segments)
+    def __post_init__(self):
+        self.rate = sum(rate for _, _, rate in self.segments)
+
+    def add_segment(self, segment) -> None:
+        """Add a segment that has moved here."""
+        self.segments.append(segment)
+        self.rate += segment[2]
+
+    def remove_segment(self, segment) -> None:
+        """Remove a segment that moves away."""
+        self.segments.remove(segment)
+        self.rate -= segment[2]
 
     @property
     def utilization(self) -> float:
@@ -226,7 +239,8 @@
         or sum(owner_load.rate for owner_load in owners) < MIN_TOTAL_RATE
     ):
         return moves
-    while len(moves) < MAX_MOVES:
+    limit = max(MIN_MOVES_LIMIT, int(len(owners) * MOVES_PER_TARGET))
+    while len(moves) < limit:
         busiest = max(owners, key=lambda owner_load: owner_load.utilization)
         least_busy = min(owners, key=lambda owner_load: owner_load.utilization)
         if (
@@ -252,8 +266,8 @@
                 candidate_segment[2] / _width(candidate_segment)
             ),
         )
-        busiest.segments.remove(segment)
-        least_busy.segments.append(segment)
+        busiest.remove_segment(segment)
+        least_busy.add_segment(segment)
         moves.append(Move(segment[0], segment[1], least_busy.life))
     return moves
 
@@ -271,8 +285,11 @@
     """Return the ranges after the moves."""
     result = list(owned)
     for move in moves:
+        # Ranges are in order and cover all keys.
+        start = bisect.bisect_right(result, move.first, key=_get_first) - 1
+        end = bisect.bisect_right(result, move.last, key=_get_first)
         after = []
-        for key_range in result:
+        for key_range in result[start:end]:
             first, last = (
                 max(key_range.first, move.first),
                 min(key_range.last, move.last),
@@ -290,10 +307,14 @@
             )
             if last < key_range.last:
                 after.append(dataclasses.replace(key_range, first=last + 1))
-        result = after
+        result[start:end] = after
     return tuple(result)
 
 
+def _get_first(key_range: ranges.Range) -> int:
+    return key_range.first
+
+
 def drop_settled_owners(owned, moved_recently) -> tuple:
     """Return ranges or places without former owners of moves long past.
 
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -43,6 +43,8 @@
 # adapt to it.
 LOAD_INTERVAL_S = 0.5
 MOVE_INTERVAL_S = 1.2
+# Part of the targets whose loads must be known to move keys between them.
+REPORTS_NEEDED = 0.75
 # A failed proposal is made again when the topic has grown, or after this time:
 # a conflicting record has been read by then.
 PROPOSAL_RETRY_S = 0.3
@@ -390,8 +392,7 @@
         loads = self._loads.pop(service, None)
         if loads is None or now - self._moved_at < MOVE_INTERVAL_S:
             return owned
-        if set(loads) != set(lives):
-            return owned
+        # Of many targets, one or another gives no report. It keeps its keys.
         owners = [
             rangeplanning.OwnerLoad(
                 life,
@@ -399,7 +400,10 @@
                 list(load_report.segments),
             )
             for life, load_report in loads.items()
+            if life in lives
         ]
+        if len(owners) < REPORTS_NEEDED * len(lives):
+            return owned
         moves = rangeplanning.choose_moves(owners)
         if not moves:
             return owned
