--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -147,8 +147,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Appended:
-    """Reports that this node has appended the record at ``offset``."""
+class TopicGrown:
+    """Reports that there is a record at ``offset``.
+
+    This node has appended it, or an append has failed because of it.
+    """
 
     offset: int
 
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -148,7 +148,7 @@
             case registry.AppendFailed():
                 if self._connected:
                     self._renew_read()
-            case registry.Appended(offset=offset):
+            case registry.TopicGrown(offset=offset):
                 if offset >= self.view.end:
                     self._read_soon()
             case registry.GetCopy():
@@ -227,7 +227,7 @@
                 self._read_task.cancel()
 
     async def _wait_for_batch(self) -> None:
-        """Wait for further records, unless this node has appended one."""
+        """Wait for further records, unless this node needs the next one."""
         self._read_wanted.clear()
         try:
             async with asyncio.timeout(
@@ -238,7 +238,7 @@
             pass
 
     def _read_soon(self) -> None:
-        """Read a record of this node, on which its next one may depend."""
+        """Read a record on which the next one of this node depends."""
         self._read_wanted.set()
         if isinstance(self._source, deciding.ReadPeer):
             self._renew_read()
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -204,6 +204,7 @@
                 case errors.RecordRejected():
                     return registry.ProposalRejected()
                 case errors.AppendConflict():
+                    self._follower.tell(registry.TopicGrown(end))
                     return None
             self._follower.tell(registry.AppendFailed())
             return None
@@ -212,7 +213,7 @@
             key=registrycodec.build_record_key(record),
             offset=offset,
         )
-        self._follower.tell(registry.Appended(offset))
+        self._follower.tell(registry.TopicGrown(offset))
         return offset
 
     async def _append(self, record, end) -> int:
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -211,14 +211,14 @@
 
 
 @pytest.mark.parametrize('offset', [0, 1])
-async def test_record_of_this_node_is_read_at_once(offset):
-    """Guards against plans that follow each other 0.1 s apart."""
+async def test_record_that_this_node_needs_is_read_at_once(offset):
+    """Guards against plans that are made, or made again, 0.1 s apart."""
     topic = GrowingTopic()
     made = follower.Follower(topic, (), lambda: 9, lambda _: None)
     async with fakes.run_actors(made):
         following = asyncio.ensure_future(made.follow())
         await fakes.wait_until(lambda: made.view.end == 1)
-        made.tell(registry.Appended(offset))
+        made.tell(registry.TopicGrown(offset))
         await asyncio.sleep(0.03)
         following.cancel()
         # The copy holds the first record already.
