Answer a node that is ahead only with records

A planner that has read its own record asks for news with a later end than its source has. The source answered as soon as its older copy was confirmed, and the planner then left it for 5 s.

--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -427,9 +427,10 @@
         """Answer the peers for which there is something new."""
         loop = asyncio.get_running_loop()
         for asker in self._askers:
-            if (
-                asker.end < self.view.end
-                or asker.as_of + NEWS_PROGRESS_S <= self.view.as_of
+            is_current = asker.end == self.view.end
+            progress_s = self.view.as_of - asker.as_of
+            if asker.end < self.view.end or (
+                is_current and progress_s >= NEWS_PROGRESS_S
             ):
                 # Later, since the time of a new copy is set after the copy.
                 loop.call_soon(self._answer_news, asker)
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -191,6 +191,31 @@
     assert bool(found) is bool(heard)
 
 
+# Guards against a node that leaves the peer it gets news from because it has
+# read a record of its own before the peer. Columns: end that is asked for, end
+# of the peer's copy, whether the peer answers when its copy is confirmed.
+@pytest.mark.parametrize(
+    ('asked', 'end', 'answers'),
+    [
+        pytest.param(5, 5, True, id='confirmed'),
+        pytest.param(6, 5, False, id='peer is behind'),
+        pytest.param(4, 5, True, id='news'),
+    ],
+)
+async def test_peer_that_is_behind_waits_for_the_records(asked, end, answers):
+    made = follower.Follower(GrowingTopic(), (), lambda: 9, lambda _: None)
+    made.start_with(registry.TopicCopy(end, {}), 1.0)
+    async with fakes.run_actors(made):
+        asking = asyncio.ensure_future(
+            made.ask(registry.AskNews('growing', asked, 0.3))
+        )
+        await asyncio.sleep(0.02)
+        made.tell(registry.PeerPosition(7, end, 9.0))
+        await asyncio.sleep(0.05)
+        assert asking.done() is answers
+        assert (await asking).news.end == end
+
+
 class GrowingTopic:
     """Has one more record at each read."""
 
