Read on when a caller who had not read takes its answers

Reading paused while answers were held, and went on only with the end of another request: when all had been answered by then, the connection stood still. test_caller_who_does_not_read_is_held_back failed before.

--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -223,6 +223,7 @@
         """Send the answers that were held."""
         self._is_writing_paused = False
         self._advance()
+        self._update_reading()
 
     def data_received(self, data):
         """Parse the bytes of a caller."""
--- a/test/test_pipelinedhttp.py
+++ b/test/test_pipelinedhttp.py
@@ -236,11 +236,17 @@
 
 async def test_caller_who_does_not_read_is_held_back(server):
     """Guards against a caller whose unread answers fill the memory."""
-    reader, writer = await asyncio.open_connection(
-        HOST, server.port, limit=1 << 12
-    )
+    reader, writer = await asyncio.open_connection(HOST, server.port)
+    writer.transport.pause_reading()
     for number in range(200):
         writer.write(request(f'/large{number}').encode())
     await asyncio.sleep(0.5)
     assert len(server.handler.started) < 60
+    # All requests are answered once the caller reads again.
+    writer.transport.resume_reading()
+    received = 0
+    async with asyncio.timeout(10.0):
+        while received < 200 << 20:
+            received += len(await reader.read(1 << 20))
+    assert len(server.handler.started) == 200
     writer.transport.abort()
