--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 faults: $(VENV)/.installed
 	SOAK_SEEDS=$(SEEDS) $(BIN)/python -m pytest -s test/process/test_soak.py
 
-BENCHES = path tail neighbours control fold appends placement shares
+BENCHES = path tail neighbours control fold appends placement shares keyplacement
 
 bench: $(VENV)/.installed
 	for one in $(BENCHES); do $(BIN)/python -m bench.$$one || exit 1; done
