Tests: wait for a token of an answering allocator, tokens after a restart

Nothing showed that tokens come at once when an allocator's node has restarted; the property test checks only that they are never too many. The code is unchanged.

--- a/test/test_positions.py
+++ b/test/test_positions.py
@@ -150,3 +150,23 @@
     await made.handle(journaling.StateChanged(current))
     found = await made.handle(owning.EnterSlot(state.SHARES_SERVICE, 2, 'r'))
     assert found.lease_end == as_of + deciding.AUTHORITY_S
+
+
+# Guards against tokens that are held back after a restart of the allocator,
+# and against tokens at once while another member's grants are valid. Columns:
+# former allocators of the place, known end of the last one.
+@pytest.mark.parametrize(
+    ('previous', 'ended_at'),
+    [
+        pytest.param((7,), 5.0, id='earlier process of this member'),
+        pytest.param((8,), None, id='another member'),
+        pytest.param((7, 8), None, id='both'),
+        pytest.param((), 5.0, id='none'),
+    ],
+)
+def test_end_of_former_allocators_is_known(previous, ended_at):
+    made = terms.Terms(1, None, fakes.FakeTask(), 'n', 5.0)
+    made._predecessors = {7}
+    place = state.AllocatorPlace(1, 'n', 3, previous)
+    made._state = state.State(allocators=state.Allocators((place,)))
+    assert made._find_former_end(3) == ended_at
--- a/test/test_shares.py
+++ b/test/test_shares.py
@@ -413,3 +413,21 @@
     ((allocator, request),) = holder.build_requests(0.0, ('busy',))
     assert allocator == 1
     assert {one.organisation for one in request.wants} == asked
+
+
+# Guards against an organisation that gets no tokens for a second after its
+# allocator's node has restarted, and against tokens while grants of a former
+# allocator may be valid. Columns: seconds since all former allocators ended,
+# None if that is not known; whether a request gets tokens at once.
+@pytest.mark.parametrize(
+    ('ended_s', 'granted'), [(None, False), (0.0, False), (1.2, True)]
+)
+def test_tokens_after_a_restart_of_the_allocator(ended_s, granted):
+    allocator, now = tokenallocator.Allocator(1), 100.0
+    ended_at = None if ended_s is None else now - ended_s
+    term = requests.Token(1, 0)
+    allocator.open_pool('one', shares.Quota(40.0, 40.0), term, now, ended_at)
+    want = messages.ShareWant('one', 0.0, 5.0, 5)
+    request = messages.ShareRequest(2, 1, 0, (want,))
+    (grant,) = allocator.answer(request, ('one',), now).grants
+    assert grant.tokens == (5.0 if granted else 0.0)
--- a/test/test_sharetasks.py
+++ b/test/test_sharetasks.py
@@ -113,30 +113,40 @@
 
 # Guards against requests that wait for a token until their deadline, and
 # against counting a wait that has ended as waiting. Rows: seconds until the
-# deadline, (least, most) seconds of wait.
+# deadline, whether the allocator answers, (least, most) seconds of wait.
 @pytest.mark.parametrize(
-    ('deadline_s', 'within'),
+    ('deadline_s', 'answers', 'within'),
     [
         pytest.param(
             2.0,
+            True,
+            (tokenholder.MAX_WAIT_S - 0.01, tokenholder.MAX_WAIT_S + 0.15),
+            id='limit',
+        ),
+        pytest.param(
+            2.0,
+            False,
             (
                 tokenholder.UNANSWERED_WAIT_S - 0.01,
                 tokenholder.UNANSWERED_WAIT_S + 0.15,
             ),
             id='limit without an answer',
         ),
-        pytest.param(0.2, (0.09, 0.19), id='half of the deadline'),
+        pytest.param(0.2, True, (0.09, 0.19), id='half of the deadline'),
     ],
 )
-async def test_wait_for_a_token_ends(deadline_s, within):
+async def test_wait_for_a_token_ends(monkeypatch, deadline_s, answers, within):
     async with run_nodes(make_state(1000.0, 100.0), -1.0) as (network, _):
         await asyncio.sleep(0.15)
+        if answers:
+            holder = network[2]._holder
+            monkeypatch.setattr(holder, 'is_answered', lambda _name: True)
         started = clock.read_boot_clock()
         reply = await spend(network[2], deadline_s)
         taken_s = clock.read_boot_clock() - started
         assert isinstance(reply, sharing.OverRate)
-        # Nobody knows whether the organisation is over its rate.
-        assert not reply.is_certain
+        # Without an answer, nobody knows whether it is over its rate.
+        assert reply.is_certain is answers
         assert within[0] <= dict(reply.inputs)['waited_s'] <= within[1]
         assert within[0] <= taken_s <= within[1]
         await asyncio.sleep(shares.TICK_S * 2)
