--- a/review/fleet.py
+++ b/review/fleet.py
@@ -263,7 +263,11 @@
         self.process = None
         # How often the process has ended by itself.
         self.ends = 0
-        self.store_address = fleet.store_address
+        # Each machine reaches the store at an address of its own, by which
+        # the store knows the machine.
+        host = f'{fleet.network}.{number + 101}'
+        self.store_address = f'{host}:{fleet.store_port}'
+        fleet.store.callers_by_address[host] = self.name
         self._fleet = fleet
         self.server = Server(
             f'i-{number}', self, fleet.record, is_sharded, fleet.slots
@@ -384,15 +388,17 @@
         return await self._stack.__aexit__(*exc)
 
     async def _start_store(self):
-        host = f'{self.network}.2'
-        (port,) = find_ports(host, 1)
+        (self.store_port,) = find_ports(f'{self.network}.101', 1)
         runner = web.ServerRunner(
             self.store.build_server(), shutdown_timeout=0.1
         )
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, host, port).start()
-        self.store_address = f'{host}:{port}'
+        for number in range(
+            sum(count for count, _ in self._services.values())
+        ):
+            host = f'{self.network}.{number + 101}'
+            await web.TCPSite(runner, host, self.store_port).start()
 
     async def put_config(self, config: dict) -> None:
         """Write a configuration, as the operator does."""
