--- a/review/1/case.py
+++ b/review/1/case.py
@@ -33,49 +33,6 @@
 WATCH_S = 12.0
 
 
-def intersect(left, right):
-    """Return the key ranges that are in both lists of rows."""
-    return [
-        (max(one[0], other[0]), min(one[1], other[1]))
-        for one in left
-        for other in right
-        if one[0] <= other[1] and other[0] <= one[1]
-    ]
-
-
-class OverlapWatch:
-    """Measures how long pairs of servers hold the same keys."""
-
-    def __init__(self, servers, record):
-        self._servers = servers
-        self._record = record
-        self._since = {}
-        self.longest_s = 0.0
-
-    def sample(self) -> None:
-        """Compare what the servers hold now."""
-        now = time.monotonic()
-        for index, left in enumerate(self._servers):
-            for right in self._servers[index + 1 :]:
-                self._note(left, right, now)
-
-    def _note(self, left, right, now) -> None:
-        pair = left.name, right.name
-        both = intersect(left.list_holds(), right.list_holds())
-        since, before = self._since.get(pair, (now, both))
-        common = intersect(before, both)
-        if not common:
-            since, common = now, both
-        if not common:
-            self._since.pop(pair, None)
-            return
-        if pair not in self._since:
-            self._record.write('both hold', servers=pair, keys=common)
-        self._since[pair] = since, common
-        if now - since > self.longest_s:
-            self.longest_s = now - since
-
-
 async def send_odd_heartbeat(fleet, machine) -> None:
     """Send a heartbeat of another writer to the node of a machine."""
     body = machine.server.build_heartbeat()
@@ -104,7 +61,7 @@
         await fleet.wait_until_ready()
         await fleet.wait_until_held()
         servers = [machine.server for machine in fleet.machines]
-        watch = OverlapWatch(servers, fleet.record)
+        watch = fleets.OverlapWatch(servers, fleet.record)
         if trouble:
             await send_odd_heartbeat(fleet, fleet.machines[0])
         ends, calls, number = time.monotonic() + WATCH_S, set(), 0
