--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,6 @@
 """One odd heartbeat of another writer makes two servers hold the same keys."""
 
 import asyncio
-import os
 import pathlib
 import sys
 import time
@@ -40,11 +39,6 @@
     body['born'] = int(time.time() * 1000)
     body['status'] = {'state': 'paused', 'sequence': 1, 'coldLeftS': 0}
     body['holds'] = []
-    if os.environ.get('ODD') == 'type':
-        body['status'] = {'state': 'ready', 'sequence': '1', 'coldLeftS': 0}
-    if os.environ.get('ODD') == 'slots':
-        body['info']['slots'] = '8'
-        body['status']['state'] = 'ready'
     address = machine.address('control')
     async with fleet.session.put(
         f'http://{address}/instances/j-7f3a', json=body
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -79,7 +79,7 @@
         if trouble:
             fleet.store.rejected_callers |= rejected
             fleet.record.write('store rejects', nodes=rejected)
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.02)
         await fleet.put_config(build_config(7, 'fichas'))
         acknowledged_at = time.monotonic()
         calm = [one for one in fleet.machines if one.name not in rejected]
