Keep a target's hold when something else looks like its end

Cause: any state but "ready" was read as "draining", and a later life was taken as proof that the present one had ended, which released its keys at once. The same conclusion stood in the answer to claims, in the claims of the next life on the machine, after a refused connection, and for a later life in another node's registration.

Change: RangeLeases._is_hold_over decides alone, from the rows that a life may hold and the end of its latest grant. Former lives keep both. Claims are always answered by the former owner's node. Unknown states are refused. A life that was replaced by mistake returns when it goes on alone for 3 s.

The row "a later life runs" of test_keys_are_released_only_when_given_up asserted the fault and now asserts the opposite; "a state that is not known" moved to the refused heartbeats, as PROTOCOL.md says that such a heartbeat names no server. test_ended_life_does_not_come_back kept a live server out for good and gave way to test_former_life_returns_only_if_it_goes_on.

--- a/sesamejunction/decisions/rangeleases.py
+++ b/sesamejunction/decisions/rangeleases.py
@@ -32,6 +32,10 @@
 # the present one sent a heartbeat within this time. After that, it is more
 # likely that the clock was set back.
 STALE_LIFE_S = 3.0
+# Former lives that are remembered; a target starts a few times a minute at
+# most. While the hold of a forgotten life may run, no unknown life counts as
+# released.
+MAX_FORMER_LIVES = 64
 # Rows of one grant. More would not fit into the answer to a heartbeat, and the
 # target would hold less than this node believes.
 MAX_GRANT_ROWS = 80
@@ -46,6 +50,21 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FormerLife:
+    """A life that was replaced, or whose target seemed to have ended.
+
+    ``sequence`` is that of its latest heartbeat, ``ended_at`` when it was
+    replaced. It may hold the keys of ``rows``, all keys if that is None, until
+    ``hold_end``.
+    """
+
+    sequence: int
+    ended_at: float
+    rows: tuple[leasing.HeldKeys | leasing.GrantRow, ...] | None
+    hold_end: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FreedRange:
     """Keys that the target has released with a handover, and the time."""
@@ -76,13 +95,15 @@
 
     def __init__(self, started_at: float):
         self.left_out = 0
-        self._started_at = started_at
+        # When all grants that this process does not know have expired. A
+        # former process of this node may have granted keys just before.
+        self._unknown_hold_end = started_at + HOLD_S * (1 + DRIFT) + MARGIN_S
         self.life = None
         self.heard_at = float('-inf')
         self._heartbeat = None
         self._granted = None
         self._freed_ranges = []
-        self._ended = set()
+        self._former = {}
         self._plan = ranges.RangePlan(())
         self._seen_at = {}
         self._released = {}
@@ -110,17 +131,21 @@
     ) -> bool:
         """Return whether the heartbeat is new, from this life or a later one.
 
-        Late heartbeats and those of ended lives are not accepted.
+        Late heartbeats are not accepted. A former life is accepted again only
+        if it goes on with new heartbeats while no other life is heard: it was
+        replaced by mistake.
         """
-        if self.life is None or heartbeat.life == self.life:
-            known = self._heartbeat
+        former = self._former.get(heartbeat.life)
+        if former is not None:
+            quiet_since = max(self.heard_at, former.ended_at)
             return (
-                known is None
-                or known.life != heartbeat.life
-                or heartbeat.sequence > known.sequence
+                heartbeat.sequence > former.sequence
+                and now - quiet_since > STALE_LIFE_S
             )
-        if heartbeat.life in self._ended:
-            return False
+        if self.life is None:
+            return True
+        if heartbeat.life == self.life:
+            return heartbeat.sequence > self._heartbeat.sequence
         if heartbeat.life.born > self.life.born:
             return True
         return now - self.heard_at > STALE_LIFE_S
@@ -129,7 +154,8 @@
         """Record an accepted heartbeat, and a new life if it shows one."""
         if heartbeat.life != self.life:
             if self.life is not None:
-                self.end_life()
+                self.end_life(now)
+            self._former.pop(heartbeat.life, None)
             self.life = heartbeat.life
         self._heartbeat = heartbeat
         self.heard_at = now
@@ -142,9 +168,19 @@
             FreedRange(piece, now) for piece in heartbeat.freed
         ]
 
-    def end_life(self) -> None:
-        """Record that the present life has ended."""
-        self._ended.add(self.life)
+    def end_life(self, now: float) -> None:
+        """Stop granting keys to the present life; its hold runs on."""
+        self._former[self.life] = FormerLife(
+            self._heartbeat.sequence,
+            now,
+            self._list_possible_rows(),
+            self.hold_end,
+        )
+        if len(self._former) > MAX_FORMER_LIVES:
+            forgotten = self._former.pop(next(iter(self._former)))
+            self._unknown_hold_end = max(
+                self._unknown_hold_end, forgotten.hold_end
+            )
         self.life = None
         self._heartbeat = None
         self._granted = None
@@ -180,7 +216,6 @@
             for life in key_range.previous
             if (key_range.epoch, key_range.first, key_range.last, life)
             not in self._released
-            and life not in self._ended
         ]
 
     def take_release(self, claim, released: leasing.ReleaseResult) -> None:
@@ -233,11 +268,32 @@
 
     @property
     def hold_end(self) -> float:
-        """Return when all grants so far have expired."""
+        """Return when all grants to the present life have expired."""
         if self._granted is not None:
             return self._granted.end
-        # A former process of this node may have granted keys just before.
-        return self._started_at + HOLD_S * (1 + DRIFT) + MARGIN_S
+        return self._unknown_hold_end
+
+    def _is_hold_over(self, claim: leasing.AskRelease, now: float) -> bool:
+        """Return whether the claimed life can no longer hold the keys.
+
+        That is so when it has released them or when its hold has run out. A
+        later life or a lost connection shows neither, as the former life may
+        still be at work.
+        """
+        if claim.life == self.life:
+            rows, hold_end = self._list_possible_rows(), self.hold_end
+        elif claim.life in self._former:
+            former = self._former[claim.life]
+            rows, hold_end = former.rows, former.hold_end
+        else:
+            rows, hold_end = None, self._unknown_hold_end
+        return now > hold_end or (
+            rows is not None
+            and not any(
+                overlaps(claim.first, claim.last, held_range)
+                for held_range in rows
+            )
+        )
 
     @property
     def is_releasing(self) -> bool:
@@ -257,40 +313,31 @@
     ) -> leasing.ReleaseResult:
         """Return whether the claimed keys are released, with handovers.
 
-        Keys of an ended life, or of one before the present, are released.
+        They are not before this node has read the plan of the claim, as it may
+        grant them again by an older plan.
         """
-        if claim.life in self._ended or (
-            self.life is not None
-            and claim.life != self.life
-            and claim.life.born < self.life.born
-        ):
-            return leasing.ReleaseResult(True)
         current = self._plan.find(claim.first)
-        if current is None or current.epoch < claim.epoch:
-            return leasing.ReleaseResult(False)
-        if now > self.hold_end:
-            return leasing.ReleaseResult(True, self._find_handovers(claim))
-        if self._heartbeat is None or self._holds(claim):
+        if (
+            current is None
+            or current.epoch < claim.epoch
+            or not self._is_hold_over(claim, now)
+        ):
             return leasing.ReleaseResult(False)
+        if claim.life != self.life:
+            return leasing.ReleaseResult(True)
         return leasing.ReleaseResult(True, self._find_handovers(claim))
 
-    def _holds(self, claim) -> bool:
-        """Return whether the target may still hold claimed keys."""
-        if any(
-            overlaps(claim.first, claim.last, held_range)
-            for held_range in self._heartbeat.held
-        ):
-            return True
+    def _list_possible_rows(self):
+        """Return the rows that the present life may hold, None for any."""
         granted = self._granted
         if granted is None:
             # This node's process has not answered any heartbeat. A former
             # process may have granted keys after the target sent this
             # heartbeat.
-            return True
-        return granted.sequence >= self._heartbeat.sequence and any(
-            overlaps(claim.first, claim.last, held_range)
-            for held_range in granted.rows
-        )
+            return None
+        if granted.sequence >= self._heartbeat.sequence:
+            return (*self._heartbeat.held, *granted.rows)
+        return self._heartbeat.held
 
     def _find_handovers(self, claim) -> tuple[ranges.ReleasedKeys, ...]:
         pieces = []
@@ -320,8 +367,7 @@
         if self._is_held(key_range):
             return True
         return all(
-            life in self._ended
-            or (key_range.epoch, key_range.first, key_range.last, life)
+            (key_range.epoch, key_range.first, key_range.last, life)
             in self._released
             for life in key_range.previous
         )
--- a/sesamejunction/model/leasing.py
+++ b/sesamejunction/model/leasing.py
@@ -71,8 +71,8 @@
     """A connection to the target failed.
 
     The target lease task gets this only if the port refused the connection,
-    which shows that the target's process has ended. The scheduler gets it
-    after any failed connection.
+    so that the target takes no requests; its hold runs on. The scheduler gets
+    it after any failed connection.
     """
 
 
--- a/sesamejunction/platform/heartbeathttp.py
+++ b/sesamejunction/platform/heartbeathttp.py
@@ -42,7 +42,7 @@
 class Status(Model):
     """Properties that change; ``sequence`` grows with each heartbeat."""
 
-    state: str
+    state: typing.Literal['ready', 'draining']
     sequence: Number
     cold_left_s: float = pydantic.Field(
         default=0.0, alias='coldLeftS', le=MAX_COLD_S, allow_inf_nan=False
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -318,19 +318,10 @@
         if claim.life.member == self._identity.name:
             reply = self._lease.answer_claim(claim, clock.read_boot_clock())
         elif member is not None:
-            if (
-                member.life is not None
-                and member.life.born > claim.life.born
-                and member.life != claim.life
-            ):
-                # A later target process runs on that machine, so the
-                # claimed life has ended.
-                reply = leasing.ReleaseResult(True)
-            else:
-                try:
-                    reply = await self._links.ask(member, claim)
-                except errors.PeerUnavailable:
-                    await asyncio.sleep(CLAIM_INTERVAL_S)
+            try:
+                reply = await self._links.ask(member, claim)
+            except errors.PeerUnavailable:
+                await asyncio.sleep(CLAIM_INTERVAL_S)
         if reply is None or not reply.released:
             await asyncio.sleep(CLAIM_INTERVAL_S)
         self.tell_reliably(leasing.ReleaseAnswered(claim, reply))
@@ -366,7 +357,7 @@
         eliot.log_message(
             'owner: target ended', life=self._lease.life, reason=reason
         )
-        self._lease.end_life()
+        self._lease.end_life(clock.read_boot_clock())
         self._heartbeat = None
         self.holdings.rows = ()
         if self._waiting is not None and not self._waiting.done():
--- a/test/test_leasing.py
+++ b/test/test_leasing.py
@@ -128,7 +128,7 @@
         ],
         True,
     ),
-    'a later life runs': (MOVED, [make_heartbeat(AGAIN, 1)], True),
+    'a later life runs': (MOVED, [make_heartbeat(AGAIN, 1)], False),
 }
 
 
@@ -161,6 +161,77 @@
     )
 
 
+ODD = ranges.Life('node-a', 'target-odd', 3000)
+EARLIER = ranges.Life('node-a', 'target-a', 500)
+ALL_KEYS = (leasing.HeldKeys(0, 65535, 5),)
+
+
+def replace_life(lease):
+    lease.take_heartbeat(make_heartbeat(ODD, 1), START)
+
+
+def replace_lives(lease):
+    for number in range(2 * deciding.MAX_FORMER_LIVES):
+        life = dataclasses.replace(ODD, born=ODD.born + number)
+        lease.take_heartbeat(make_heartbeat(life, 1), START)
+
+
+def end_life(lease):
+    lease.end_life(START)
+
+
+# Guards against two holders of a key after a message that looks like the end
+# of a target that is still up. Columns: what the node was told, the claimed
+# life.
+@pytest.mark.parametrize(
+    ('event', 'life'),
+    [
+        pytest.param(replace_life, OLD, id='later life'),
+        pytest.param(replace_lives, OLD, id='many later lives'),
+        pytest.param(end_life, OLD, id='connection refused'),
+        pytest.param(lambda _: None, EARLIER, id='life of a former process'),
+    ],
+)
+@pytest.mark.parametrize(
+    ('after_s', 'expected'),
+    [(0.1, False), (deciding.HOLD_S, False), (3.3, True)],
+)
+def test_hold_outlasts_what_seems_its_end(event, life, after_s, expected):
+    lease = deciding.RangeLeases(START)
+    lease.take_plan(FIRST, START)
+    lease.take_heartbeat(make_heartbeat(OLD, 1, ALL_KEYS), START)
+    lease.renew(START, START)
+    lease.take_plan(MOVED, START)
+    event(lease)
+    claim = dataclasses.replace(CLAIM, life=life)
+    assert lease.answer_claim(claim, START + after_s).released is expected
+
+
+# Guards against a wait for keys that the former life did not hold.
+@pytest.mark.parametrize(
+    ('held', 'expected'), [((leasing.HeldKeys(0, 999, 5),), True), ((), True)]
+)
+def test_keys_that_a_former_life_had_given_up_are_released(held, expected):
+    lease = make_leases(OLD, MOVED, held)
+    lease.renew(START, START)
+    replace_life(lease)
+    assert lease.answer_claim(CLAIM, START + 0.1).released is expected
+
+
+def test_next_life_waits_for_the_hold_of_the_former_one():
+    """Guards against two lives of one machine that hold the same keys."""
+    lease = make_leases(OLD, FIRST, ALL_KEYS)
+    lease.renew(START, START)
+    again = make_plan(ranges.Range(0, 65535, 9, AGAIN, (OLD,)))
+    lease.take_plan(again, START)
+    lease.take_heartbeat(make_heartbeat(AGAIN, 1), START)
+    (claim,) = lease.list_claims(START)
+    assert not lease.answer_claim(claim, START + deciding.HOLD_S).released
+    assert not lease.renew(START, START + 1.0).rows
+    lease.take_release(claim, lease.answer_claim(claim, START + 3.1))
+    assert lease.renew(START + 3, START + 3.1).rows
+
+
 @pytest.mark.parametrize(
     ('after_s', 'expected'),
     [(1.0, False), (deciding.HOLD_S, False), (3.1, True)],
@@ -260,11 +331,28 @@
     assert lease.accepts_heartbeat(beat, START + after_s) is expected
 
 
-def test_ended_life_does_not_come_back():
+# Guards against late heartbeats of a life that has ended, and against a live
+# target that is never used again because another writer's heartbeat replaced
+# it. Columns: sequence, seconds since the other life was heard, answer.
+@pytest.mark.parametrize(
+    ('sequence', 'after_s', 'expected'),
+    [
+        pytest.param(1, 60.0, False, id='late'),
+        pytest.param(9, 0.1, False, id='another is heard'),
+        pytest.param(9, 3.5, True, id='goes on alone'),
+    ],
+)
+@pytest.mark.parametrize('event', [replace_life, end_life])
+def test_former_life_returns_only_if_it_goes_on(
+    event, sequence, after_s, expected
+):
     lease = make_leases(OLD, FIRST)
-    lease.end_life()
-    lease.take_heartbeat(make_heartbeat(AGAIN, 1), START)
-    assert not lease.accepts_heartbeat(make_heartbeat(OLD, 9), START + 60)
+    event(lease)
+    beat = make_heartbeat(OLD, sequence)
+    assert lease.accepts_heartbeat(beat, START + after_s) is expected
+    if expected:
+        lease.take_heartbeat(beat, START + after_s)
+        assert lease.life == OLD
 
 
 def make_fragments(count, owner=OLD):
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -301,15 +301,11 @@
     assert not heartbeat.draining
 
 
-STATES = {
-    'draining': ({'state': 'draining'}, True),
-    'a state that is not known': ({'state': 'odd'}, True),
-}
-
-
-@pytest.mark.parametrize(('status', 'draining'), STATES.values(), ids=STATES)
-def test_only_ready_targets_get_new_work(status, draining):
-    beat = {**BEAT, 'status': {**BEAT['status'], **status}}
+@pytest.mark.parametrize(
+    ('state_name', 'draining'), [('ready', False), ('draining', True)]
+)
+def test_only_ready_targets_get_new_work(state_name, draining):
+    beat = {**BEAT, 'status': {**BEAT['status'], 'state': state_name}}
     heartbeat = heartbeathttp.decode_heartbeat(
         'node', 'i-1', json.dumps(beat).encode()
     )
@@ -320,6 +316,10 @@
     'no sequence': {**BEAT, 'status': {'state': 'ready'}},
     'slots of another type': {**BEAT, 'info': {'service': 's', 'slots': []}},
     'no information': {'status': BEAT['status']},
+    'a state that is not known': {
+        **BEAT,
+        'status': {**BEAT['status'], 'state': 'paused'},
+    },
 }
 
 
