Renew copies of the configuration within the platform's configApplyS

Cause: a node read the store itself when its copy was older than 2.5 s, a constant, checked each 0.5 s. No code read configApplyS.

Change: the age limit is configApplyS less 0.5 s, and the check comes when it is reached. The reads of the readers end on a grid counted from the latest record, so that calm copies stay younger than the limit; their random waits had drifted together after some ten reads.

--- a/sesamejunction/decisions/polls.py
+++ b/sesamejunction/decisions/polls.py
@@ -16,16 +16,22 @@
 # Time between the ends of two reads where a known set of nodes reads for all.
 # Copies of the others get older by up to 1.5 s more until they hear of it.
 READER_INTERVAL_S = 0.5
-# Random part by which the waits of such nodes differ, so that reads that have
-# come to end together move apart again.
-JITTER = 0.1
+# Waits of such nodes that would be shorter than this part of the interval are
+# a whole period longer.
+MIN_INTERVAL_FRACTION = 0.5
 # With fewer peers, their reads cannot keep a copy current.
 PEERS_NEEDED = 3
 WAIT_ALONE_S = 1.5
-# Age of a copy at which a read without a wait is started: neither this node's
-# read nor a peer has confirmed for this long that the copy is current. Caller
-# keys are trusted for 4.5 s, and a read may take a second.
-RENEW_S = 2.5
+# Limits of the age of a copy at which a read without a wait is started, since
+# neither this node's read nor a peer has confirmed for this long that the copy
+# is current. Caller keys are trusted for 4.5 s, and a read may take a second;
+# below the shortest one, calm copies would be read again and again.
+LONGEST_RENEW_S = 2.5
+SHORTEST_RENEW_S = 0.75
+# The platform's default for the time within which a change is in force.
+DEFAULT_APPLY_S = 2.0
+# Part of that time for the read, and for decoding what it brings.
+READ_MARGIN_S = 0.5
 # Delays between calls while the log does not answer.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
@@ -56,19 +62,29 @@
     return min(LONGEST_WAIT_S, -mean_s * math.log(1.0 - draw()))
 
 
-def choose_reader_wait(count: int, rank: int, has_grown: bool, draw) -> float:
+def choose_reader_wait(count: int, rank: int, since_growth_s: float) -> float:
     """Return the seconds that one of ``count`` readers waits for a record.
 
-    ``rank`` is its place among them. A record ends the reads of all of them;
-    after it (``has_grown``) the waits are staggered by rank, and then they
-    are equal, so that the reads go on ending one after the other.
+    ``rank`` is its place among them. A record ends the reads of all of them
+    at once, so the times at which they end are counted from the latest record:
+    the reads end one after the other, also after some have failed.
     """
     period_s = max(
         WAIT_ALONE_S, min(LONGEST_WAIT_S, count * READER_INTERVAL_S)
     )
-    if has_grown:
-        period_s *= (rank + 1) / count
-    return period_s * (1 - JITTER + 2 * JITTER * draw())
+    interval_s = period_s / count
+    wait_s = ((rank + 1) * interval_s - since_growth_s) % period_s
+    if wait_s < MIN_INTERVAL_FRACTION * interval_s:
+        wait_s += period_s
+    return wait_s
+
+
+def compute_renewal_age(apply_s: float) -> float:
+    """Return the age of a copy at which it is read again.
+
+    ``apply_s`` is the time within which changes have to be in force.
+    """
+    return max(SHORTEST_RENEW_S, min(LONGEST_RENEW_S, apply_s - READ_MARGIN_S))
 
 
 def find_next_pause(pause_s: float, is_reader: bool = True) -> float:
--- a/sesamejunction/platform/bounds.py
+++ b/sesamejunction/platform/bounds.py
@@ -4,6 +4,7 @@
 import msgspec
 import pydantic
 
+from sesamejunction.decisions import polls
 from sesamejunction.decisions import retrybudget
 
 PAIR_SEPARATOR = ','
@@ -34,6 +35,9 @@
     grace_s: float = pydantic.Field(
         default=DEFAULT_GRACE_S, gt=0, alias='graceS'
     )
+    apply_s: float = pydantic.Field(
+        default=polls.DEFAULT_APPLY_S, gt=0, alias='configApplyS'
+    )
     fixed_retries: float = pydantic.Field(
         default=retrybudget.DEFAULT_LIMITS.fixed, ge=0, alias='retrySlack'
     )
@@ -52,6 +56,11 @@
     return decode_bounds(text).grace_s
 
 
+def decode_apply_time(text: str) -> float:
+    """Return the time within which a configuration has to be in force."""
+    return decode_bounds(text).apply_s
+
+
 def decode_bounds(text: str) -> Bounds:
     """Return the limits in a text of NAME=VALUE pairs or a JSON object.
 
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -29,8 +29,10 @@
 CLOCK_DRIFT = 0.02
 # Interval of checks on the current read while a peer is ahead.
 WATCH_INTERVAL_S = 0.1
-# Interval of these checks otherwise.
+# Longest interval of these checks otherwise.
 IDLE_S = 0.5
+# A check of the copy's age comes this much after the age is reached.
+CHECK_MARGIN_S = 0.01
 # Number of former ends whose times are kept for actors that have not handled
 # the newest copy yet. Few are needed, since each copy is one message.
 MAX_FORMER_ENDS = 256
@@ -92,15 +94,23 @@
     Other actors read ``view`` directly; only this actor writes it.
     ``count_peers`` returns the number of reachable peers. ``count_dropped``
     is called with metric labels for each read that was dropped because it
-    received nothing while a peer was ahead.
+    received nothing while a peer was ahead. ``apply_s`` is the time within
+    which changes of the topic have to be in force.
     """
 
     tick_s = IDLE_S
 
     def __init__(
-        self, topic, subscribers, count_peers, count_dropped, sources=None
+        self,
+        topic,
+        subscribers,
+        count_peers,
+        count_dropped,
+        sources=None,
+        apply_s=polls.DEFAULT_APPLY_S,
     ):
         super().__init__()
+        self._renewal_age_s = polls.compute_renewal_age(apply_s)
         self._sources = sources
         # Source of the read in progress, and the source of the next one in
         # place of the one chosen for the zone.
@@ -128,8 +138,8 @@
         self._skip_wait = False
         # Set when the wait for further records is to end.
         self._read_wanted = asyncio.Event()
-        # Whether the latest read of the log has brought records.
-        self._has_grown = True
+        # When the latest record came.
+        self._grown_at = 0.0
         self._stall_detector = readstalls.ReadStallDetector()
         self._logger = logs.ThrottledLogger()
         self.view = PositionView()
@@ -164,12 +174,10 @@
 
     async def tick(self) -> None:
         """Check the read in progress; restart it if it seems broken."""
-        self.tick_s = (
-            WATCH_INTERVAL_S if self._stall_detector.is_behind else IDLE_S
-        )
+        now = clock.read_boot_clock()
+        self.tick_s = self._find_check_interval(now)
         if self._read_task is None or self._read_task.done():
             return
-        now = clock.read_boot_clock()
         if isinstance(self._source, deciding.ReadPeer):
             self._check_peer_read(now)
         elif self._stall_detector.note_received(now, self._topic.received):
@@ -180,9 +188,18 @@
             self._set_connected(
                 False, 'no data received while a peer is ahead'
             )
-        elif now - self.view.as_of > polls.RENEW_S:
+        elif now - self.view.as_of > self._renewal_age_s:
             self._renew_read()
 
+    def _find_check_interval(self, now) -> float:
+        """Return the seconds until the next check of the read in progress."""
+        if self._stall_detector.is_behind:
+            return WATCH_INTERVAL_S
+        left_s = self.view.as_of + self._renewal_age_s - now
+        if 0.0 < left_s < IDLE_S:
+            return left_s + CHECK_MARGIN_S
+        return IDLE_S
+
     @property
     def is_connected(self) -> bool:
         """Return whether the log answers.
@@ -213,11 +230,11 @@
                     # connection may be dead.
                     await self._topic.reconnect()
                     continue
-                self._has_grown = self._read_task.result()
+                has_grown = self._read_task.result()
                 self._stall_detector.note_answer()
                 self._set_connected(True, '')
                 pause_s = polls.FIRST_PAUSE_S
-                if self._has_grown:
+                if has_grown:
                     await self._wait_for_batch()
             except errors.LogUnavailable as error:
                 self._set_connected(False, str(error))
@@ -313,7 +330,7 @@
             self._sources.note_failed(self._source)
             self._next_source = self._sources.find_member(self._ahead)
             self._read_task.cancel()
-        elif now - self.view.as_of > polls.RENEW_S:
+        elif now - self.view.as_of > self._renewal_age_s:
             self._renew_read()
 
     def _take_question(self, question) -> asyncio.Future:
@@ -411,6 +428,7 @@
 
     def _replace_copy(self, copy) -> None:
         self._copy = copy
+        self._grown_at = clock.read_boot_clock()
         self._news.clear()
         self._stall_detector.note_copy(copy.end)
         self.view.move_to(copy.end)
@@ -459,7 +477,7 @@
             )
         rank, count = self._sources.find_reader_rank(self.topic_name)
         return polls.choose_reader_wait(
-            count, rank, self._has_grown, random.random
+            count, rank, clock.read_boot_clock() - self._grown_at
         )
 
     def _must_return_at_once(self) -> bool:
@@ -470,7 +488,7 @@
         """Return whether the copy has to be confirmed by a read at once."""
         age_s = clock.read_boot_clock() - self.view.as_of
         # Not if the latest read already was one without a wait.
-        return age_s > polls.RENEW_S and self._wait_s > 0.0
+        return age_s > self._renewal_age_s and self._wait_s > 0.0
 
     def _renew_read(self) -> None:
         """Replace a waiting read by one that returns at once.
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -188,6 +188,7 @@
             count_members,
             count_dropped_read,
             sources,
+            bounds.decode_apply_time(self._settings.bounds),
         )
         self._fleet = follower.Follower(
             self._fleet_topic,
--- a/test/storemodel.py
+++ b/test/storemodel.py
@@ -278,7 +278,7 @@
             await asyncio.sleep(2 * link.SILENCE_LIMIT_S)
             raise errors.PeerUnavailable('silent; ask another')
         answer = await peer.answer(message)
-        if isinstance(message, registry.AskNews):
+        if isinstance(message, registry.AskNews) and answer.news is not None:
             await self._bring_news(peer, answer)
         return answer
 
@@ -520,6 +520,30 @@
     return waits
 
 
+def lose_readers(state):
+    """Return steps: all readers lose the store while the config changes."""
+
+    async def steps(fleet):
+        waits = []
+        for version in range(60, 68):
+            members = fleet.nodes[0].states.current.members
+            readers = sources.list_readers(members, store.OPERATOR_TOPIC)
+            cut = [fleet.find(one) for one in readers]
+            for one in cut:
+                one.line.state = state
+            # All at once, or after the readers have noticed.
+            await asyncio.sleep(fleet.draw.choice((0.02, 0.5, 1.0, 3.0)))
+            end = fleet.write_config(version) + 1
+            others = [one for one in fleet.nodes if one not in cut]
+            waits.append(await fleet.wait_until_read(0, end, others))
+            for one in cut:
+                one.line.state = 'open'
+            await asyncio.sleep(8.0)
+        return waits
+
+    return steps
+
+
 async def refuse_zone(fleet):
     """Let the store refuse a whole zone while the config changes."""
     waits = []
@@ -568,6 +592,8 @@
     'large': write_large,
     'frozen readers': freeze_readers,
     'zone refused': refuse_zone,
+    'readers refused': lose_readers('refused'),
+    'readers silent': lose_readers('silent'),
 }
 
 
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -559,8 +559,8 @@
 @pytest.mark.parametrize(
     'rendered',
     [
-        pytest.param('{"strictRevoke":true,"retrySlack":430}', id='table'),
-        pytest.param('strictRevoke=true,retrySlack=430', id='list'),
+        pytest.param('{"configApplyS":3.5,"retrySlack":430}', id='table'),
+        pytest.param('configApplyS=3.5,retrySlack=430', id='list'),
     ],
 )
 def test_limits_are_read_from_the_rendered_template(
@@ -578,6 +578,7 @@
     monkeypatch.setenv('SESAMEJUNCTION_SETTINGS', str(path))
     loaded = hostedsettings.read_hosted_settings({})
     assert bounds.decode_retry_limits(loaded.bounds).fixed == 430.0
+    assert bounds.decode_apply_time(loaded.bounds) == 3.5
 
 
 SPEEDS = {'given': ('5.0', 5.0), 'empty': ('', 0.0), 'absent': (None, 0.0)}
--- a/test/test_polls.py
+++ b/test/test_polls.py
@@ -1,6 +1,7 @@
 """How often many nodes call the store, and the age of their copies."""
 
 import asyncio
+import itertools
 import random
 
 import pytest
@@ -31,6 +32,33 @@
     assert max(waits) <= polls.LONGEST_WAIT_S
 
 
+# Guards against changes that are in force later than the platform asks: a node
+# that reaches the log reads it early enough for the read to end in time.
+@pytest.mark.parametrize(
+    ('apply_s', 'expected'),
+    [(2.0, 1.5), (1.5, 1.0), (30.0, polls.LONGEST_RENEW_S), (0.1, 0.75)],
+)
+def test_copies_are_renewed_within_the_time_to_apply(apply_s, expected):
+    assert polls.compute_renewal_age(apply_s) == expected
+
+
+# Guards against readers whose reads end together, so that all copies get old
+# between them. Columns: number of readers, seconds since the latest record at
+# which one of them starts to read again.
+@pytest.mark.parametrize('count', [1, 3, 6, 10, 44])
+@pytest.mark.parametrize('restart_s', [0.0, 0.3, 7.7])
+def test_reads_of_the_readers_end_one_after_the_other(count, restart_s):
+    ends = []
+    for rank in range(count):
+        now = restart_s * rank / count
+        while now < 60.0:
+            now += polls.choose_reader_wait(count, rank, now)
+            ends.append(now)
+    ends = sorted(end for end in ends if 20.0 < end < 60.0)
+    gaps = [later - end for end, later in itertools.pairwise(ends)]
+    assert max(gaps) <= max(polls.WAIT_ALONE_S / count, 0.5) + 1e-6
+
+
 PHASES = ('start', 'settle', 'calm', 'records', 'large')
 
 
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -169,6 +169,20 @@
     assert phase.ages[-1] <= oldest_s
 
 
+# Seconds until a change is in force at nodes that reach the log and each
+# other (configApplyS of the platform).
+APPLY_S = 2.0
+
+
+# Guards against changes that reach nodes late because the nodes that read for
+# their zones have lost the log, in all zones at once.
+@pytest.mark.parametrize('count', [12, 30])
+@pytest.mark.parametrize('name', ['readers refused', 'readers silent'])
+def test_changes_arrive_in_time_without_the_readers(count, name):
+    _, _, phase = storemodel.run_model(count, 3, ('start', 'settle', name))
+    assert max(phase.waits) <= APPLY_S
+
+
 # Guards against a node that waits for members which ended before it started,
 # as after a loss of power everywhere. Columns: members that this node has
 # heard from, members that it may ask.
