Leave a source that has no contact with the store and no news

Cause: a reader without contact stayed the source of its zone. It let peers wait and then answered with its old copy, so they never looked for another.

Change: such a node answers at once, also those who wait, that it has no news; its peers ask another member or read. A node that only replaces readers keeps the longer pauses between failed reads, since its whole zone may be without contact.

--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -203,8 +203,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewsAnswer:
-    """Answers AskNews; ``news`` is None if the answering node has no copy.
+    """Answers AskNews.
 
+    ``news`` is None if the answering node has no copy, or no news and no
+    contact with the log.
     ``as_of_s`` is when the copy was known to be current, in seconds after the
     question arrived; negative if before.
     """
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -282,9 +282,13 @@
         return ahead or self._sources.choose(self.topic_name)
 
     def _is_reader(self) -> bool:
-        """Return whether this node reads the log for its zone."""
-        return self._sources is None or isinstance(
-            self._sources.choose(self.topic_name), deciding.ReadLog
+        """Return whether this node reads the log for its zone.
+
+        A node that only replaces readers without contact does not count, as
+        the whole zone may be without.
+        """
+        return self._sources is None or self._sources.is_reader(
+            self.topic_name
         )
 
     async def _read_peer(self, source) -> None:
@@ -299,7 +303,9 @@
         )
         news = answer.news
         if news is None or news.end < self._copy.end:
-            raise errors.PeerUnavailable('the peer is behind; ask another')
+            raise errors.PeerUnavailable(
+                'the peer is behind or cannot reach the log; ask another'
+            )
         if news.end > self._copy.end:
             self._take_news(news)
         # The question arrived after it was asked. The peer's clock may have
@@ -342,7 +348,7 @@
             self.view.as_of,
             loop.create_future(),
         )
-        if self.view.end > question.end:
+        if self.view.end > question.end or not self._connected:
             self._answer_news(asker)
         else:
             self._askers.append(asker)
@@ -354,7 +360,10 @@
             self._askers.remove(asker)
         if asker.answer.done():
             return
-        if self._copy is None:
+        if self._copy is None or (
+            asker.end >= self.view.end and not self._connected
+        ):
+            # The peer has to find a source that reaches the log.
             asker.answer.set_result(registry.NewsAnswer(None, 0.0))
             return
         news = self._news.get(asker.end)
@@ -522,6 +531,9 @@
         if connected == self._connected:
             return
         self._connected = connected
+        if not connected:
+            for asker in list(self._askers):
+                self._answer_news(asker)
         fields = {
             'topic': self._topic.name,
             'end': self.view.end,
--- a/sesamejunction/tasks/topicsources.py
+++ b/sesamejunction/tasks/topicsources.py
@@ -61,15 +61,22 @@
         A node that replaces a reader, or that is not registered yet, takes
         the last place.
         """
+        readers = self._list_readers(topic)
+        if self._incarnation in readers:
+            return readers.index(self._incarnation), len(readers)
+        return len(readers), len(readers) + 1
+
+    def is_reader(self, topic: str) -> bool:
+        """Return whether this node is among the readers of a topic."""
+        return self._incarnation in self._list_readers(topic)
+
+    def _list_readers(self, topic) -> list[int]:
         members = self._states.current.members
         known = self._readers.get(topic)
         if known is None or known[0] is not members:
             known = members, sources.list_readers(members, topic)
             self._readers[topic] = known
-        readers = known[1]
-        if self._incarnation in readers:
-            return readers.index(self._incarnation), len(readers)
-        return len(readers), len(readers) + 1
+        return known[1]
 
     def note_failed(self, source: sources.ReadPeer) -> None:
         """Ask other members for a while."""
--- a/test/test_sources.py
+++ b/test/test_sources.py
@@ -9,6 +9,7 @@
 from sesamejunction.border import linkcodec
 from sesamejunction.decisions import sources
 from sesamejunction.decisions import topicnews
+from sesamejunction import errors
 from sesamejunction.model import registry
 from sesamejunction.model import state
 from sesamejunction.tasks import follower
@@ -262,3 +263,32 @@
         following.cancel()
         # The copy holds the first record already.
         assert topic.reads == (2 if offset else 1)
+
+
+class RefusingTopic(GrowingTopic):
+    """Refuses all reads."""
+
+    async def read(self, _offset, _wait_s):
+        raise errors.LogUnavailable('503; wait')
+
+
+# Guards against a node that waits for news from a peer which cannot get any.
+# Columns: whether the peer loses the log before it is asked, end that is asked
+# for, whether the answer has news.
+@pytest.mark.parametrize('is_lost_before', [True, False])
+@pytest.mark.parametrize(('end', 'has_news'), [(5, False), (4, True)])
+async def test_peer_without_the_log_says_so(is_lost_before, end, has_news):
+    made = follower.Follower(RefusingTopic(), (), lambda: 9, lambda _: None)
+    made.start_with(registry.TopicCopy(5, {}), 1.0)
+    question = registry.AskNews('growing', end, 3.0)
+    async with fakes.run_actors(made):
+        asking = None if is_lost_before else made.ask(question)
+        if asking is not None:
+            asking = asyncio.ensure_future(asking)
+            await asyncio.sleep(0.01)
+        following = asyncio.ensure_future(made.follow())
+        await fakes.wait_until(lambda: not made.is_connected)
+        async with asyncio.timeout(0.5):
+            answer = await (asking or made.ask(question))
+        following.cancel()
+    assert (answer.news is not None) is has_news
