Ignore X-Shard-Key in requests for services without key ranges

Cause: the header was checked for sharded services only, but taken as the key of all requests; the scheduler and three more places converted it with int().

Change: ranges.parse_key is the only conversion; it bounds the length, too. The front end passes no key on for other services, and a key from a node of an earlier version is ignored there.

Evidence: 7 rows of test_odd_key_of_a_service_without_ranges_is_ignored failed before, and the key of 5,000 digits raised ValueError in the front end.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -8,6 +8,7 @@
 from sesamejunction import errors
 from sesamejunction.model import gating
 from sesamejunction.model import leasing
+from sesamejunction.model import ranges
 from sesamejunction.model import requests
 from sesamejunction.model import state
 
@@ -120,7 +121,13 @@
     """Return a refusal if the target does not hold the request's key."""
     if not is_ranged(ports, head):
         return None
-    key, now = int(head.route_key), ports.clock()
+    key, now = ranges.parse_key(head.route_key), ports.clock()
+    if key is None:
+        # A node of another version may send what this one would not.
+        return refuse(
+            requests.Code.ROUTE_KEY_MISSING,
+            'the request has no key in range; send one',
+        )
     if ports.holdings.holds(key, now):
         return None
     if ports.holdings.is_delayed(key, now):
@@ -219,8 +226,13 @@
     ports.misses = 0
     if isinstance(reply, requests.Refusal):
         report.shed = reply.code is requests.Code.SHED
-        if reply.code is requests.Code.NOT_OWNER and is_ranged(ports, head):
-            ports.lease.tell(leasing.KeyNotHeld(int(head.route_key)))
+        key = ranges.parse_key(head.route_key)
+        if (
+            reply.code is requests.Code.NOT_OWNER
+            and key is not None
+            and is_ranged(ports, head)
+        ):
+            ports.lease.tell(leasing.KeyNotHeld(key))
         return dataclasses.replace(reply, load=ports.scheduler.load)
     report.taken_s = ports.clock() - started
     ports.metrics.observe('target_seconds', report.taken_s)
--- a/sesamejunction/model/ranges.py
+++ b/sesamejunction/model/ranges.py
@@ -6,6 +6,20 @@
 
 # Keys are integers from 0 to LAST_KEY.
 LAST_KEY = 65535
+# Longer texts are no keys; int() takes a time that grows with their square.
+MAX_KEY_DIGITS = 20
+
+
+def parse_key(text: str | None) -> int | None:
+    """Return the key in a text, None if there is none in range."""
+    if (
+        text is None
+        or len(text) > MAX_KEY_DIGITS
+        or not (text.isascii() and text.isdigit())
+    ):
+        return None
+    key = int(text)
+    return key if key <= LAST_KEY else None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -224,10 +224,10 @@
                 503, 'the service is not declared', RETRY_AFTER_S
             )
         key = request.headers.get(headernames.SHARD_KEY)
-        if (
-            declared_service.routing is state.Routing.RANGE
-            and not is_range_key(key)
-        ):
+        if declared_service.routing is not state.Routing.RANGE:
+            # The header means nothing here; it is forwarded like others.
+            key = None
+        elif ranges.parse_key(key) is None:
             raise RequestRefused(400, 'the key is not a number in range')
         attempt = request.headers.get(headernames.REQUEST_ID, '')
         return requests.Head(
@@ -307,16 +307,6 @@
             yield name, value.decode('latin-1')
 
 
-def is_range_key(text: str | None) -> bool:
-    """Return whether the text is a valid key of a range-routed service."""
-    return (
-        text is not None
-        and text.isascii()
-        and text.isdigit()
-        and int(text) <= ranges.LAST_KEY
-    )
-
-
 def find_status(refusal: requests.Refusal) -> int:
     """Return the HTTP status that tells the caller the outcome."""
     if refusal.outcome is requests.Outcome.NOT_RUN:
--- a/sesamejunction/queries/routes.py
+++ b/sesamejunction/queries/routes.py
@@ -1,6 +1,7 @@
 """Finds the members that may run a request, by key or by load."""
 
 from sesamejunction.decisions import hashing
+from sesamejunction.model import ranges
 from sesamejunction.model import requests
 from sesamejunction.model import state
 
@@ -96,8 +97,8 @@
     until its target has released the keys, and the new owner is waiting for
     that release.
     """
-    plan = current.ranges.get(service.name)
-    key_range = plan and plan.find(int(key))
+    plan, number = current.ranges.get(service.name), ranges.parse_key(key)
+    key_range = plan and number is not None and plan.find(number)
     if not key_range:
         return []
     return [
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -9,6 +9,7 @@
 from sesamejunction.model import gating
 from sesamejunction.model import journaling
 from sesamejunction.model import leasing
+from sesamejunction.model import ranges
 from sesamejunction.model import requests
 from sesamejunction.model import state
 from sesamejunction.model import timing
@@ -117,8 +118,9 @@
 
     def _admit(self, head):
         now = self._clock()
-        if head.route_key is not None:
-            self._keys.add(int(head.route_key), now)
+        key = ranges.parse_key(head.route_key)
+        if key is not None:
+            self._keys.add(key, now)
         refusal = self._find_refusal(now)
         if refusal is not None:
             return refusal
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -23,6 +23,7 @@
 from sesamejunction.model import messages
 from sesamejunction.model import operating
 from sesamejunction.model import owning
+from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.platform import bounds
 from sesamejunction.platform import config
@@ -427,9 +428,8 @@
             **self._usage.describe(),
         }
         plan = current.ranges.get(head.service)
-        owned_range = (
-            plan and head.route_key and plan.find(int(head.route_key))
-        )
+        key = ranges.parse_key(head.route_key)
+        owned_range = plan and key is not None and plan.find(key)
         if owned_range:
             silent = {
                 current.members[silent_incarnation].name
--- /dev/null
+++ b/test/test_oddrequests.py
@@ -0,0 +1,72 @@
+"""Requests with odd headers end no node and are refused as not run."""
+
+import dataclasses
+import types
+
+import pytest
+
+from sesamejunction.commands import hosting
+from sesamejunction.model import gating
+from sesamejunction.model import routing
+from sesamejunction.model import state
+from sesamejunction.platform import frontend
+from test import test_scheduler
+
+HEADERS = {'X-Attempt-Id': 'a', 'X-Shard-Key': '7', 'X-Deadline-Ms': '1000'}
+ROUTE = routing.Route(
+    *('r', 'h', '/', routing.RouteKind.REPEATABLE),
+    *((routing.WeightedService('s', 1),), 1, 1.0, 1.0, 0, True),
+)
+
+
+def build_head(shard_routing, **headers):
+    """Return the head of a request with other headers, or its refusal."""
+    ports = types.SimpleNamespace(clock=lambda: 0.0, states=None)
+    front = frontend.Frontend(
+        frontend.FrontendContext(ports, None, 's', None, hosting.OpenRuns())
+    )
+    current = state.State(services={'s': state.Service('s', shard_routing, 0)})
+    changed = {
+        name: value
+        for name, value in (HEADERS | headers).items()
+        if value is not None
+    }
+    request = types.SimpleNamespace(
+        headers=changed, method='GET', raw_path='/', raw_headers=()
+    )
+    try:
+        return front._build_head(current, ROUTE, '', request, 0.0)
+    except frontend.RequestRefused as refused:
+        return refused
+
+
+ODD_KEYS = ['pallet-7', '', '-1', '65536', '９', '1e3', '9' * 5000, None]
+
+
+# Guards against a header that ends the node beside a server: the key of a
+# request for a service without key ranges was taken for a number.
+@pytest.mark.parametrize('key', ODD_KEYS, ids=lambda key: str(key)[:9])
+async def test_odd_key_of_a_service_without_ranges_is_ignored(key):
+    head = build_head(state.Routing.LOAD, **{'X-Shard-Key': key})
+    assert head.route_key is None
+    # A node of an earlier version passes the key on.
+    made, _ = await test_scheduler.make_scheduler()
+    passed = test_scheduler.make_head(0)
+    reply = await test_scheduler.admit(
+        made, dataclasses.replace(passed, route_key=key)
+    )
+    assert isinstance(reply, gating.Admitted)
+
+
+# Guards against requests that no server runs and that wait for one. Columns:
+# header, value, status.
+@pytest.mark.parametrize(
+    ('name', 'value', 'status'),
+    [
+        *(('X-Shard-Key', key, 400) for key in ODD_KEYS),
+    ],
+    ids=lambda value: str(value)[:13],
+)
+def test_odd_header_is_refused(name, value, status):
+    refused = build_head(state.Routing.RANGE, **{name: value})
+    assert refused.status == status
