Refuse requests without an id, and a second one of a queued name

Cause: the name of a request is its id and a number of its node, and the queue of a server is keyed by that name; without ids two nodes make the same names.

Change: the front end answers 400 without an id, as servers do, and says that nothing has run. The scheduler refuses a request whose name is in its queue.

Evidence: test_two_requests_of_one_name_wait_at_one_target and two rows of test_odd_header_is_refused failed before.

--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -94,8 +94,11 @@
     def __len__(self):
         return len(self._requests_by_id)
 
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._requests_by_id
+
     def push(self, pending_request: PendingRequest) -> None:
-        """Queue a request."""
+        """Queue a request; its id must not be in the queue."""
         queue = self._ranks.get(pending_request.rank)
         if queue is None:
             queue = self._ranks[pending_request.rank] = fairness.FairQueue()
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -229,7 +229,10 @@
             key = None
         elif ranges.parse_key(key) is None:
             raise RequestRefused(400, 'the key is not a number in range')
-        attempt = request.headers.get(headernames.REQUEST_ID, '')
+        attempt = request.headers.get(headernames.REQUEST_ID)
+        if not attempt:
+            # Targets refuse such a request without running it.
+            raise RequestRefused(400, 'the request has no id; nothing has run')
         return requests.Head(
             request_id=f'{attempt}.{next(self._request_numbers)}',
             service=service,
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -127,6 +127,11 @@
         pending_request = self._build_pending_request(head)
         if not self._queue and self._find_start_delay(now) == 0.0:
             return self._start(pending_request, now)
+        if head.request_id in self._queue:
+            return refuse(
+                requests.Code.REQUEST_BAD,
+                'a request with this id is waiting; use a new id',
+            )
         refusal = self._find_overload(pending_request, now)
         return refusal or self._enqueue(pending_request, now)
 
--- a/test/test_oddrequests.py
+++ b/test/test_oddrequests.py
@@ -7,6 +7,7 @@
 
 from sesamejunction.commands import hosting
 from sesamejunction.model import gating
+from sesamejunction.model import requests
 from sesamejunction.model import routing
 from sesamejunction.model import state
 from sesamejunction.platform import frontend
@@ -64,9 +65,21 @@
     ('name', 'value', 'status'),
     [
         *(('X-Shard-Key', key, 400) for key in ODD_KEYS),
+        ('X-Attempt-Id', None, 400),
+        ('X-Attempt-Id', '', 400),
     ],
     ids=lambda value: str(value)[:13],
 )
 def test_odd_header_is_refused(name, value, status):
     refused = build_head(state.Routing.RANGE, **{name: value})
     assert refused.status == status
+
+
+async def test_two_requests_of_one_name_wait_at_one_target():
+    """Guards against a name in the queue that replaces another."""
+    made, _ = await test_scheduler.make_scheduler(slots=1)
+    for number in (0, 1):
+        await test_scheduler.admit(made, test_scheduler.make_head(number))
+    again = await test_scheduler.admit(made, test_scheduler.make_head(1))
+    assert again.outcome is requests.Outcome.NOT_RUN
+    assert made.load.queued == 1
