Limit cold servers to less than one request a second

Cause: ColdWindow.find_send_delay counted back int(limit) requests, which is 0 below 1.

Change: at least one request is counted back, so one is sent in each second.

Evidence: two rows of test_cold_window_takes_any_limit failed before.

--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -181,7 +181,9 @@
         count = self.count(now)
         if count < limit:
             return 0.0
-        return self._sent[count - int(limit)] + COLD_WINDOW_S - now
+        # Below one request in the window, one may be sent in each.
+        allowed = max(1, int(limit))
+        return self._sent[count - allowed] + COLD_WINDOW_S - now
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
