Refuse deadlines that are too large for a float

What callers saw: not seen; found by reading. X-Deadline-Ms with 400 digits raised OverflowError in the front end, which answered 500.

Cause: only ValueError of the conversion was handled.

Change: both errors give 400.

Evidence: the row of 400 digits of test_odd_header_is_refused failed before.

--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -213,9 +213,9 @@
         if text is not None:
             try:
                 limit_s = min(limit_s, int(text) / 1000)
-            except ValueError:
+            except (ValueError, OverflowError):
                 raise RequestRefused(
-                    400, 'the deadline is not a number'
+                    400, 'the deadline is not a number in range'
                 ) from None
         service = deciding.choose_part(route, random.random())
         declared_service = current.services.get(service)
--- a/test/test_oddrequests.py
+++ b/test/test_oddrequests.py
@@ -66,6 +66,9 @@
     ('name', 'value', 'status'),
     [
         *(('X-Shard-Key', key, 400) for key in ODD_KEYS),
+        ('X-Deadline-Ms', 'soon', 400),
+        ('X-Deadline-Ms', '9' * 400, 400),
+        ('X-Deadline-Ms', '9' * 9000, 400),
         ('X-Attempt-Id', None, 400),
         ('X-Attempt-Id', '', 400),
     ],
