Take a copy for current only with all records of the topic

Cause: the time at which a read was sent counted as the age of the copy for each read that brought records. One answer holds at most 1,024 KB, and the node had missed more; the end of the topic in the answer was not compared.

Change: the age is set only if the copy reaches that end. The next read follows at once.

--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -138,6 +138,8 @@
         self._skip_wait = False
         # Set when the wait for further records is to end.
         self._read_wanted = asyncio.Event()
+        # Whether the latest answer of the log left records out.
+        self._lacks_records = False
         # When the latest record came.
         self._grown_at = 0.0
         self._stall_detector = readstalls.ReadStallDetector()
@@ -234,7 +236,7 @@
                 self._stall_detector.note_answer()
                 self._set_connected(True, '')
                 pause_s = polls.FIRST_PAUSE_S
-                if has_grown:
+                if has_grown and not self._lacks_records:
                     await self._wait_for_batch()
             except errors.LogUnavailable as error:
                 self._set_connected(False, str(error))
@@ -406,7 +408,10 @@
         already_folded = self._copy.end - offset
         if len(batch.entries) > already_folded:
             self._fold_entries(batch.entries[already_folded:])
-            self._advance_as_of(sent_at)
+            # One answer may hold only a part of what the copy lacks.
+            self._lacks_records = self._copy.end < batch.end
+            if not self._lacks_records:
+                self._advance_as_of(sent_at)
             return True
         if already_folded:
             return False
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -408,6 +408,30 @@
     assert copy == registry.TopicCopy(3, {'b': registry.TopicItem(2, b'2')})
 
 
+# Guards against a copy that is taken for a current one although the answer
+# left the newest records out: keys taken away were accepted (review/3).
+# Columns: ends of the topic that the answers state, whether the copy is
+# current after each.
+@pytest.mark.parametrize(
+    ('ends', 'current'),
+    [
+        pytest.param([2, 3], [True, True], id='whole'),
+        pytest.param([3, 3], [False, True], id='second answer has the rest'),
+        pytest.param([9, 9], [False, False], id='much is missing'),
+    ],
+)
+async def test_copy_is_current_only_with_all_records(ends, current):
+    batches = [
+        registry.TopicBatch((registry.Entry('a', b'x'),), end) for end in ends
+    ]
+    made = follower.Follower(FakeTopic(batches), (), lambda: 9, lambda _: None)
+    made.start_with(registry.TopicCopy(1, {}), 0.0)
+    for is_current in current:
+        made.view.as_of = 0.0
+        assert await made._read()
+        assert (made.view.as_of > 0.0) is is_current
+
+
 class OvertakenTopic(FakeTopic):
     """Delivers a copy of a peer while a read is running."""
 
