Refuse members with an IPv6 address

Cause: registrycodec accepted each address that ipaddress can read; sendto() of an IPv4 socket raises ValueError for an IPv6 one, which ended the task that probes the members.

Change: the platform has IPv4 only (DEPLOY.md), so records and the setting HOST take IPv4 addresses.

--- a/sesamejunction/border/hostedsettings.py
+++ b/sesamejunction/border/hostedsettings.py
@@ -1,5 +1,6 @@
 """Validated settings of a node that runs on an operator's platform."""
 
+import ipaddress
 import os
 import pathlib
 
@@ -53,8 +54,8 @@
         pattern=settings.NAME_PATTERN,
         description='availability zone of the instance',
     )
-    host: pydantic.IPvAnyAddress = pydantic.Field(
-        description='address of the instance'
+    host: ipaddress.IPv4Address = pydantic.Field(
+        description='IPv4 address of the instance'
     )
     peer_port: settings.Port = pydantic.Field(
         description='TCP and UDP port for other nodes'
--- a/sesamejunction/border/registrycodec.py
+++ b/sesamejunction/border/registrycodec.py
@@ -93,9 +93,10 @@
 
 def _find_member_problem(record) -> str | None:
     try:
-        ipaddress.ip_address(record.host)
+        # The platform has IPv4 only, and so have the sockets of nodes.
+        ipaddress.IPv4Address(record.host)
     except ValueError:
-        return 'the host is no address'
+        return 'the host is no IPv4 address'
     usable = {
         'the port': record.peer_port in PORTS,
         'the number of slots': record.slots in NUMBERS,
--- a/test/test_oddentries.py
+++ b/test/test_oddentries.py
@@ -62,6 +62,8 @@
     'negative number': change(MEMBER, incarnation=-1),
     'slots too many': change(MEMBER, slots=1 << 63),
     'no address': change(MEMBER, host='node\x00'),
+    'IPv6 address': change(MEMBER, host='::1'),
+    'IPv4 in IPv6': change(MEMBER, host='::ffff:10.0.0.1'),
     'number for a text': change(MEMBER, name=7),
     'start too large': change(
         MEMBER, life=msgspec.to_builtins(LIFE) | {'born': 1 << 63}
