Refuse planner records whose round cannot be counted on

Cause: the codec did not check the round, to which the next planner adds one.

Change: rounds from 0 to 2**62 are read; nodes do not reach that bound.

Evidence: two rows of test_odd_record_is_refused failed before.

--- a/sesamejunction/border/registrycodec.py
+++ b/sesamejunction/border/registrycodec.py
@@ -25,6 +25,8 @@
 PORTS = range(1, 1 << 16)
 # Numbers that packets between nodes and the records themselves can hold.
 NUMBERS = range(1 << 63)
+# Rounds of planners, which the next planner adds one to.
+ROUNDS = range(1 << 62)
 SECRET = re.compile('(?:[0-9a-f]{2})+')
 
 
@@ -86,6 +88,8 @@
                 for place in places
             )
             return None if usable else 'a place or its number'
+        case state.ActivePlanner(round=planner_round):
+            return None if planner_round in ROUNDS else 'the round'
         case registry.SecretRecord(secret=secret):
             return None if SECRET.fullmatch(secret) else 'the secret'
     return None
--- a/test/test_oddentries.py
+++ b/test/test_oddentries.py
@@ -80,7 +80,12 @@
     'another service': change(PLAN, service='x'),
 }
 ALLOCATORS = state.Allocators((state.AllocatorPlace(1, 'node-000', 4),))
+PLANNER = state.ActivePlanner('node-000', 4)
 OTHERS = {
+    'planner of the last round': (
+        'planner', change(PLANNER, round=(1 << 64) - 1)
+    ),
+    'planner of a negative round': ('planner', change(PLANNER, round=-1)),
     'no allocators': ('allocators', change(ALLOCATORS, places=[])),
     'secret that is no number': ('secret', change(
         registry.SecretRecord('ab'), secret='what'
@@ -104,7 +109,7 @@
         registrycodec.decode_record(key, value)
 
 
-@pytest.mark.parametrize('record', [MEMBER, PLAN, ALLOCATORS])
+@pytest.mark.parametrize('record', [MEMBER, PLAN, ALLOCATORS, PLANNER])
 def test_usable_record_is_read(record):
     # Guards against checks that refuse what nodes themselves write.
     key = registrycodec.build_record_key(record)
