Refuse heartbeats whose target id cannot be sent in a header

Cause: the id in the path was not checked; it is sent on in a header.

Change: ids are 1 to 200 printable ASCII characters. Refused heartbeats are counted by field (heartbeats_refused_total) and their log lines are limited.

Evidence: six rows of test_odd_id_of_a_target_is_refused failed before.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -119,6 +119,10 @@
             'log_reads_dropped_total',
             'Reads of a topic that went silent while a peer was ahead',
         )
+        self.heartbeats_refused = self._add_counts(
+            'heartbeats_refused_total',
+            'Heartbeats that named no usable target, by the odd field',
+        )
         self.key_rows_granted = self._add_counts(
             'key_rows_granted_total',
             'Key ranges granted to the target after a change',
--- a/sesamejunction/platform/heartbeathttp.py
+++ b/sesamejunction/platform/heartbeathttp.py
@@ -3,10 +3,10 @@
 import typing
 
 from aiohttp import web
-import eliot
 import msgspec
 import pydantic
 
+from sesamejunction.border import logs
 from sesamejunction.model import leasing
 from sesamejunction.model import ranges
 
@@ -31,6 +31,18 @@
 Key = typing.Annotated[int, pydantic.Field(ge=0, le=ranges.LAST_KEY)]
 
 
+# The id of a target is sent on in a header of each request.
+MAX_ID_LENGTH = 200
+
+
+class Sender(Model):
+    """The target that a heartbeat names in its path."""
+
+    id: str = pydantic.Field(
+        pattern=f'^[!-~]{{1,{MAX_ID_LENGTH}}}$',
+    )
+
+
 class Info(Model):
     """Properties that stay the same while a target runs."""
 
@@ -69,10 +81,13 @@
     """Handles requests of the target and of the platform.
 
     ``lease`` is the task that receives heartbeats; ``is_ready`` returns
-    whether the node is ready for callers.
+    whether the node is ready for callers. ``count_refused`` is called with
+    metric labels for each heartbeat that cannot be used.
     """
 
-    def __init__(self, member: str, lease, is_ready):
+    def __init__(self, member: str, lease, is_ready, count_refused):
+        self._count_refused = count_refused
+        self._logger = logs.ThrottledLogger()
         self._member = member
         self._lease = lease
         self._is_ready = is_ready
@@ -106,10 +121,12 @@
             heartbeat = decode_heartbeat(self._member, target, body)
         except pydantic.ValidationError as error:
             problem = error.errors(include_url=False, include_input=False)[0]
-            eliot.log_message(
+            field = '.'.join(map(str, problem['loc']))
+            self._count_refused({'field': str(next(iter(problem['loc']), ''))})
+            self._logger.log_message(
                 'owner: heartbeat unreadable',
-                target=target,
-                field='.'.join(map(str, problem['loc'])),
+                target=target[:MAX_ID_LENGTH],
+                field=field,
                 reason=problem['msg'],
             )
             return web.Response(status=400)
@@ -121,6 +138,7 @@
     member: str, target: str, body: bytes
 ) -> leasing.Heartbeat:
     """Return the heartbeat; raises pydantic.ValidationError."""
+    Sender.model_validate({'id': target})
     parsed = HeartbeatBody.model_validate_json(body)
     return leasing.Heartbeat(
         ranges.Life(member, target, parsed.born),
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -327,7 +327,10 @@
             )
         )
         self.heartbeat_handler = heartbeathttp.HeartbeatHandler(
-            node_settings.name, self._lease, self._is_ready
+            node_settings.name,
+            self._lease,
+            self._is_ready,
+            self._metrics.heartbeats_refused.inc,
         )
         self.metrics_page = metrics.MetricsPage(
             self._metrics, self._update_gauges
--- a/test/test_oddentries.py
+++ b/test/test_oddentries.py
@@ -207,6 +207,17 @@
 }
 
 
+IDS = ['', 'i\u0416', 'i 7', 'i\r\nX-Tenant: b', 'i\ud800', 'i' * 201]
+
+
+# Guards against an id that cannot be sent on in a header: each request of that
+# node failed until it was restarted.
+@pytest.mark.parametrize('target', IDS, ids=ascii)
+def test_odd_id_of_a_target_is_refused(target):
+    with pytest.raises(pydantic.ValidationError):
+        heartbeathttp.decode_heartbeat('node', target, change_beat(''))
+
+
 # Guards against a heartbeat whose values the node cannot store: its process
 # ended when it registered the target.
 @pytest.mark.parametrize('body', BEATS.values(), ids=BEATS)
