Read the limits for withdrawn keys, evacuated zones and leaving targets

On a deployment with a revokeS, evacuateS or drainS below ours, requests would run with withdrawn keys or reach servers that leave.

Cause: the three times were constants: 4.5, 3.0 and 1.0 s.

Change: they follow from the platform's bounds; with the platform's usual bounds they are what they were.

Evidence: test_times_to_stop_follow_the_platform and test_new_work_ends_within_the_platforms_limits (new interfaces, so they could not run before).

--- a/sesamejunction/platform/bounds.py
+++ b/sesamejunction/platform/bounds.py
@@ -10,6 +10,15 @@
 PAIR_SEPARATOR = ','
 # Time from the signal to stop until the process is killed, in seconds.
 DEFAULT_GRACE_S = 6.0
+# Times within which a withdrawn key, an evacuated zone and a leaving target
+# get no more requests, in seconds.
+DEFAULT_REVOKE_S = 5.0
+DEFAULT_EVACUATE_S = 5.0
+DEFAULT_DRAIN_S = 2.0
+# Part of the time for a withdrawn key that is left for the request's way.
+KEY_MARGIN_S = 0.5
+# Part of the time for a leaving target in which it is sent new work.
+LEAVE_FRACTION = 0.5
 
 
 class Bounds(pydantic.BaseModel):
@@ -38,10 +47,37 @@
     apply_s: float = pydantic.Field(
         default=polls.DEFAULT_APPLY_S, gt=0, alias='configApplyS'
     )
+    revoke_s: float = pydantic.Field(
+        default=DEFAULT_REVOKE_S, gt=0, alias='revokeS'
+    )
+    evacuate_s: float = pydantic.Field(
+        default=DEFAULT_EVACUATE_S, gt=0, alias='evacuateS'
+    )
+    drain_s: float = pydantic.Field(
+        default=DEFAULT_DRAIN_S, gt=0, alias='drainS'
+    )
     fixed_retries: float = pydantic.Field(
         default=retrybudget.DEFAULT_LIMITS.fixed, ge=0, alias='retrySlack'
     )
 
+    @property
+    def key_trust_s(self) -> float:
+        """Return the age of declarations up to which keys are accepted."""
+        return max(0.0, self.revoke_s - KEY_MARGIN_S)
+
+    @property
+    def zone_grace_s(self) -> float:
+        """Return how long an evacuated zone is still sent new work.
+
+        The evacuation itself is known within the time to apply changes.
+        """
+        return max(0.0, self.evacuate_s - self.apply_s)
+
+    @property
+    def leave_grace_s(self) -> float:
+        """Return how long a leaving target is still sent new work."""
+        return self.drain_s * LEAVE_FRACTION
+
 
 def decode_retry_limits(text: str) -> retrybudget.Limits:
     """Return the limits of retries; ``text`` as for decode_bounds."""
@@ -56,11 +92,6 @@
     return decode_bounds(text).grace_s
 
 
-def decode_apply_time(text: str) -> float:
-    """Return the time within which a configuration has to be in force."""
-    return decode_bounds(text).apply_s
-
-
 def decode_bounds(text: str) -> Bounds:
     """Return the limits in a text of NAME=VALUE pairs or a JSON object.
 
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -16,12 +16,10 @@
 from sesamejunction.model import requests
 from sesamejunction.model import routing
 from sesamejunction.model import state
+from sesamejunction.platform import bounds
 from sesamejunction.platform import config
 from sesamejunction.platform import headernames
 
-# Caller keys are trusted for this long after the declarations were last known
-# to be current; a withdrawn key may work for 5 s at most.
-KEY_TRUST_S = 4.5
 # Time reserved for the answer to reach the caller before its deadline.
 REPLY_MARGIN_S = 0.01
 RETRY_AFTER_S = 0.2
@@ -43,7 +41,9 @@
 
     ``declared`` tells when the declarations were last known to be current.
     ``service`` is that of the target on this instance, ``open_runs`` its
-    present work. ``audit`` records outcomes and refusals.
+    present work. ``audit`` records outcomes and refusals. Caller keys are
+    trusted for ``key_trust_s`` after the declarations were last known to be
+    current.
     """
 
     ports: commands.Ports
@@ -51,6 +51,7 @@
     service: str
     audit: object
     open_runs: hosting.OpenRuns
+    key_trust_s: float = bounds.Bounds().key_trust_s
 
 
 class RequestRefused(Exception):
@@ -196,7 +197,7 @@
         # is not in force yet may revoke the key.
         as_of = self._context.declared.find_as_of(current.declared_end)
         age_s = self._context.ports.clock() - as_of
-        if age_s > KEY_TRUST_S:
+        if age_s > self._context.key_trust_s:
             raise RequestRefused(
                 503, 'caller keys cannot be checked now', RETRY_AFTER_S
             )
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -37,14 +37,25 @@
 class Scheduler(actor.Actor):
     """Limits concurrency at the target and owns its request queue.
 
-    ``holdings`` is the view of the key ranges granted to the target.
+    ``holdings`` is the view of the key ranges granted to the target. New work
+    is accepted for ``leave_grace_s`` after the target, and for
+    ``zone_grace_s`` after its zone is taken out of service.
     """
 
     name = 'gate'
     tick_s = IDLE_S
 
-    def __init__(self, service: str, holdings, clock=clock.read_boot_clock):
+    def __init__(
+        self,
+        service: str,
+        holdings,
+        clock=clock.read_boot_clock,
+        leave_grace_s: float = LEAVE_GRACE_S,
+        zone_grace_s: float = timing.ZONE_OUT_GRACE_S,
+    ):
         super().__init__()
+        self._leave_grace_s = leave_grace_s
+        self._zone_grace_s = zone_grace_s
         self._holdings = holdings
         self._logger = logs.ThrottledLogger()
         self._keys = keyload.KeyLoad()
@@ -179,13 +190,13 @@
                 retry_after_s=RETRY_AFTER_S,
             )
         leaving, out = target_status.leaving_since, target_status.out_since
-        if leaving is not None and now - leaving >= LEAVE_GRACE_S:
+        if leaving is not None and now - leaving >= self._leave_grace_s:
             return refuse(
                 requests.Code.STOPPING,
                 'the target leaves; retry',
                 retry_after_s=RETRY_AFTER_S,
             )
-        if out is not None and now - out >= timing.ZONE_OUT_GRACE_S:
+        if out is not None and now - out >= self._zone_grace_s:
             return refuse(
                 requests.Code.ZONE_OUT,
                 'the availability zone is out of service; retry',
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -68,6 +68,7 @@
 
     def __init__(self, node_settings, incarnation, stack):
         self._settings: hostedsettings.HostedSettings = node_settings
+        self._bounds = bounds.decode_bounds(node_settings.bounds)
         self._host = str(node_settings.host)
         self._incarnation = incarnation
         self._stack: contextlib.AsyncExitStack = stack
@@ -189,7 +190,7 @@
             count_members,
             count_dropped_read,
             sources,
-            bounds.decode_apply_time(self._settings.bounds),
+            self._bounds.apply_s,
         )
         self._fleet = follower.Follower(
             self._fleet_topic,
@@ -235,7 +236,10 @@
             self._metrics,
         )
         self._scheduler = scheduler.Scheduler(
-            node_settings.target_service, self._lease.holdings
+            node_settings.target_service,
+            self._lease.holdings,
+            leave_grace_s=self._bounds.leave_grace_s,
+            zone_grace_s=self._bounds.zone_grace_s,
         )
         self._lease.subscribers = (self._scheduler,)
         self._intake = intake.Intake(node_settings.line_mbps, self._scheduler)
@@ -324,6 +328,7 @@
                 node_settings.target_service,
                 self._audit,
                 hosting_ports.open_runs,
+                self._bounds.key_trust_s,
             )
         )
         self.heartbeat_handler = heartbeathttp.HeartbeatHandler(
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -602,7 +602,25 @@
     monkeypatch.setenv('SESAMEJUNCTION_SETTINGS', str(path))
     loaded = hostedsettings.read_hosted_settings({})
     assert bounds.decode_retry_limits(loaded.bounds).fixed == 430.0
-    assert bounds.decode_apply_time(loaded.bounds) == 3.5
+    assert bounds.decode_bounds(loaded.bounds).apply_s == 3.5
+
+
+# Guards against limits of the platform that stand in the code as constants:
+# other deployments have others. Columns: bounds, seconds for which a key, an
+# evacuated zone and a leaving target are used.
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        pytest.param('', (4.5, 3.0, 1.0), id='defaults'),
+        pytest.param('revokeS=3,drainS=1', (2.5, 3.0, 0.5), id='shorter'),
+        pytest.param('evacuateS=4,configApplyS=1', (4.5, 3.0, 1.0), id='both'),
+        pytest.param('evacuateS=2,revokeS=0.2', (0.0, 0.0, 1.0), id='tiny'),
+    ],
+)
+def test_times_to_stop_follow_the_platform(text, expected):
+    found = bounds.decode_bounds(text)
+    times = found.key_trust_s, found.zone_grace_s, found.leave_grace_s
+    assert times == expected
 
 
 SPEEDS = {'given': ('5.0', 5.0), 'empty': ('', 0.0), 'absent': (None, 0.0)}
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -349,6 +349,26 @@
         assert judged.refusal == admitted
 
 
+# Guards against a target or a zone that is sent new work for longer than the
+# platform allows. Columns: limits, standing, whether new work is admitted.
+@pytest.mark.parametrize(
+    ('limits', 'standing', 'is_admitted'),
+    [
+        ({}, {'leaving_since': 999.4}, True),
+        ({'leave_grace_s': 0.5}, {'leaving_since': 999.4}, False),
+        ({}, {'out_since': 998.5}, True),
+        ({'zone_grace_s': 1.0}, {'out_since': 998.5}, False),
+    ],
+)
+async def test_new_work_ends_within_the_platforms_limits(
+    limits, standing, is_admitted
+):
+    made = scheduler.Scheduler('orders', Holdings(), Clock(), **limits)
+    await made.handle(leasing.TargetStatus(LIFE, 1, 0.0, **standing))
+    reply = await admit(made, make_head(0))
+    assert isinstance(reply, gating.Admitted) is is_admitted
+
+
 async def test_expected_bodies_count_as_queued():
     # Guards against sending more bodies to a node with a saturated line
     # because its queue is empty.
