--- a/sesamejunction/decisions/rangeleases.py
+++ b/sesamejunction/decisions/rangeleases.py
@@ -155,7 +155,9 @@
         if heartbeat.life != self.life:
             if self.life is not None:
                 self.end_life(now)
-            self._former.pop(heartbeat.life, None)
+            former = self._former.pop(heartbeat.life, None)
+            if former is not None:
+                self._note_unknown_hold(former)
             self.life = heartbeat.life
         self._heartbeat = heartbeat
         self.heard_at = now
@@ -177,15 +179,16 @@
             self.hold_end,
         )
         if len(self._former) > MAX_FORMER_LIVES:
-            forgotten = self._former.pop(next(iter(self._former)))
-            self._unknown_hold_end = max(
-                self._unknown_hold_end, forgotten.hold_end
-            )
+            self._note_unknown_hold(self._former.pop(next(iter(self._former))))
         self.life = None
         self._heartbeat = None
         self._granted = None
         self._freed_ranges = []
 
+    def _note_unknown_hold(self, former: FormerLife) -> None:
+        """Keep the end of a hold whose life is no longer a former one."""
+        self._unknown_hold_end = max(self._unknown_hold_end, former.hold_end)
+
     def list_owned(self) -> list[ranges.Range]:
         """Return the ranges that the plan assigns to the present life."""
         return [
--- a/test/test_leasing.py
+++ b/test/test_leasing.py
@@ -355,6 +355,17 @@
         assert lease.life == OLD
 
 
+def test_returned_life_keeps_its_hold():
+    """Guards against a release while the hold from before its return runs."""
+    lease = make_leases(OLD, FIRST, ALL_KEYS)
+    lease.renew(START, START)
+    replace_life(lease)
+    lease.take_plan(MOVED, START)
+    lease.take_heartbeat(make_heartbeat(OLD, 9), START + 0.1)
+    assert not lease.answer_claim(CLAIM, START + deciding.HOLD_S).released
+    assert lease.answer_claim(CLAIM, START + 3.1).released
+
+
 def make_fragments(count, owner=OLD):
     """Return a plan in which every other range belongs to ``owner``."""
     width = 65536 // (2 * count)
