--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -583,8 +583,13 @@
 @pytest.mark.parametrize(
     'rendered',
     [
-        pytest.param('{"configApplyS":3.5,"retrySlack":430}', id='table'),
-        pytest.param('configApplyS=3.5,retrySlack=430', id='list'),
+        pytest.param(
+            '{"strictRevoke":true,"configApplyS":3.5,"retrySlack":430}',
+            id='table',
+        ),
+        pytest.param(
+            'strictRevoke=true,configApplyS=3.5,retrySlack=430', id='list'
+        ),
     ],
 )
 def test_limits_are_read_from_the_rendered_template(
