Keep the rest of a configuration when a route or service is unreadable

Cause: a route kind that the decoder does not know (download) made the whole configuration unreadable.

Change: routes and services are validated one by one. A route that cannot be read keeps its host and prefix and refuses with 503, not run; a service that cannot be read is left out. Each is logged once per configuration and counted in declarations_unreadable_total. A route whose host or prefix cannot be read still keeps the whole configuration out of force, since its requests could reach another route. download is a known kind and may be repeated.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -123,6 +123,10 @@
             'heartbeats_refused_total',
             'Heartbeats that named no usable target, by the odd field',
         )
+        self.declarations_unreadable = self._add_counts(
+            'declarations_unreadable_total',
+            'Parts of configurations that could not be read, by part',
+        )
         self.key_rows_granted = self._add_counts(
             'key_rows_granted_total',
             'Key ranges granted to the target after a change',
--- a/sesamejunction/model/routing.py
+++ b/sesamejunction/model/routing.py
@@ -5,11 +5,20 @@
 
 
 class RouteKind(enum.Enum):
-    """Whether requests may be repeated, and how bodies are handled."""
+    """Whether requests may be repeated, and how bodies are handled.
+
+    The answers of a DOWNLOAD are large.
+    """
 
     REPEATABLE = 'repeatable'
     ONCE = 'once'
     UPLOAD = 'upload'
+    DOWNLOAD = 'download'
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self in (RouteKind.REPEATABLE, RouteKind.DOWNLOAD)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/platform/config.py
+++ b/sesamejunction/platform/config.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration into declarations."""
 
+import dataclasses
 import hashlib
 import typing
 
@@ -16,6 +17,8 @@
     'idempotent': routing.RouteKind.REPEATABLE,
     'non_idempotent': routing.RouteKind.ONCE,
     'upload': routing.RouteKind.UPLOAD,
+    # Downloads may be repeated; their answers are large.
+    'download': routing.RouteKind.DOWNLOAD,
 }
 
 
@@ -42,7 +45,7 @@
     name: str
     host: str
     prefix: str = pydantic.Field(alias='pathPrefix')
-    kind: typing.Literal['idempotent', 'non_idempotent', 'upload']
+    kind: typing.Literal['idempotent', 'non_idempotent', 'upload', 'download']
     time_limit_s: float = pydantic.Field(alias='timeoutS', gt=0)
     objective_s: float = pydantic.Field(alias='targetLatencyS', gt=0)
     rank: int = pydantic.Field(default=0, alias='priority')
@@ -54,6 +57,17 @@
     is_open: bool = pydantic.Field(default=False, alias='noAuth')
 
 
+class UnreadableRouteModel(Model):
+    """The part of a route that selects its requests.
+
+    It remains of a route whose other fields cannot be read.
+    """
+
+    name: str = ''
+    host: str
+    prefix: str = pydantic.Field(alias='pathPrefix')
+
+
 class ServiceModel(Model):
     """A service; times in seconds, rates in requests per second."""
 
@@ -88,23 +102,43 @@
 
 
 class ConfigModel(Model):
-    """The whole configuration."""
+    """The whole configuration.
+
+    Routes and services are validated one by one, so that one that cannot be
+    read leaves the others in force.
+    """
 
     version: int
-    routes: tuple[RouteModel, ...]
-    services: tuple[ServiceModel, ...]
+    routes: tuple[pydantic.JsonValue, ...]
+    services: tuple[pydantic.JsonValue, ...]
     tenants: tuple[TenantModel, ...] = ()
     limits: LimitsModel = LimitsModel()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """A part of the configuration that cannot be read.
+
+    ``part`` is 'route', 'service' or 'configuration', ``name`` the name of
+    the route or service, ``field`` the path of the field in it.
+    """
+
+    part: str
+    name: str
+    field: str
+    reason: str
+
+
 class OperatorTopicDecoder:
     """Decodes the operator's topic.
 
-    A configuration is only decoded if its offset has changed.
+    A configuration is only decoded if its offset has changed. ``count`` is
+    called with the labels of each part that cannot be read.
     """
 
-    def __init__(self):
+    def __init__(self, count=lambda labels: None):
         self._decoded_offset = None
+        self._count = count
 
     def __call__(
         self, copy: registry.TopicCopy, known: registry.DeclaredConfig | None
@@ -123,26 +157,45 @@
         if item is None or item.offset == self._decoded_offset:
             return known, evacuated
         self._decoded_offset = item.offset
+        problems = []
         try:
-            return decode_config(item.value), evacuated
+            declared = decode_config(item.value, problems.append)
         except pydantic.ValidationError as error:
-            problem = error.errors(include_url=False, include_input=False)[0]
+            declared = known
+            problems.append(describe_problem('configuration', '', error))
+        for problem in problems:
+            self._count({'part': problem.part})
             eliot.log_message(
-                'journal: declarations unreadable, keeping the known ones',
-                field='.'.join(map(str, problem['loc'])),
-                reason=problem['msg'],
+                'journal: declarations unreadable; correct the named field',
                 offset=item.offset,
+                **dataclasses.asdict(problem),
             )
-            return known, evacuated
+        return declared, evacuated
+
+
+def describe_problem(
+    part: str, name: str, error: pydantic.ValidationError
+) -> Problem:
+    """Return the first problem that a validation has found."""
+    first = error.errors(include_url=False, include_input=False)[0]
+    field = '.'.join(map(str, first['loc']))
+    return Problem(part, name, field, first['msg'])
+
 
+def decode_config(
+    value: bytes, report=lambda problem: None
+) -> registry.DeclaredConfig:
+    """Return the declarations; raises pydantic.ValidationError.
 
-def decode_config(value: bytes) -> registry.DeclaredConfig:
-    """Return the declarations; raises pydantic.ValidationError."""
+    ``report`` is called with the Problem of each route or service that cannot
+    be read. Such a route refuses its requests; such a service is left out, so
+    that routes to it refuse theirs.
+    """
     parsed = ConfigModel.model_validate_json(value)
     return registry.DeclaredConfig(
         parsed.version,
-        tuple(build_route(configured) for configured in parsed.routes),
-        tuple(build_service(configured) for configured in parsed.services),
+        tuple(decode_route(raw, report) for raw in parsed.routes),
+        tuple(decode_services(parsed.services, report)),
         tuple(
             state.Organisation(
                 configured.name,
@@ -166,6 +219,42 @@
     )
 
 
+def decode_route(raw, report) -> routing.Route:
+    """Return a route; one that cannot be read leads to no service.
+
+    Raises pydantic.ValidationError if it is unknown which requests the route
+    selects, since another route might then get them.
+    """
+    try:
+        return build_route(RouteModel.model_validate(raw))
+    except pydantic.ValidationError as error:
+        selector = UnreadableRouteModel.model_validate(raw)
+        report(describe_problem('route', selector.name, error))
+        return routing.Route(
+            selector.name,
+            selector.host.lower(),
+            selector.prefix,
+            # Nothing is known of the route, so nothing is repeated.
+            routing.RouteKind.ONCE,
+            parts=(),
+            attempts=1,
+            time_limit_s=0.0,
+            objective_s=0.0,
+            rank=0,
+            is_open=True,
+        )
+
+
+def decode_services(raws, report):
+    """Yield the services that can be read."""
+    for raw in raws:
+        try:
+            yield build_service(ServiceModel.model_validate(raw))
+        except pydantic.ValidationError as error:
+            name = raw.get('name', '') if isinstance(raw, dict) else ''
+            report(describe_problem('service', str(name), error))
+
+
 def build_route(configured: RouteModel) -> routing.Route:
     """Return the declared route of a configured one."""
     parts = tuple(
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -117,7 +117,7 @@
         One without a route never runs.
         """
         route = match_route(self._context.ports.states.current, request)
-        return route is None or route.kind is routing.RouteKind.REPEATABLE
+        return route is None or route.kind.is_repeatable
 
     async def handle(
         self, request: pipelinedhttp.CallerRequest
@@ -243,7 +243,7 @@
             idempotency_key=None,
             organisation=organisation,
             deadline=now + limit_s - REPLY_MARGIN_S,
-            repeatable=route.kind is routing.RouteKind.REPEATABLE,
+            repeatable=route.kind.is_repeatable,
             headers=tuple(list_forwarded_headers(request.raw_headers)),
             route=route.name,
             rank=deciding.find_rank(current, route, organisation),
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -273,7 +273,9 @@
         )
         self._registry = registrar.Registry(
             store.FLEET_TOPIC,
-            config.OperatorTopicDecoder(),
+            config.OperatorTopicDecoder(
+                self._metrics.declarations_unreadable.inc
+            ),
             (self._states, *self._list_state_subscribers()),
         )
         self._declared_subscribers.append(self._registry)
