Keep the shares of split routes close to their weights in short windows

Cause: each request drew its part at random.

Change: each node goes through a golden-ratio sequence from a random start.

--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -72,6 +72,7 @@
     def __init__(self, context: FrontendContext):
         self._context = context
         self._request_numbers = itertools.count(1)
+        self._split = deciding.SplitSequence(random.random)
         self.stopping = False
         self._open = set()
 
@@ -218,7 +219,7 @@
                 raise RequestRefused(
                     400, 'the deadline is not a number in range'
                 ) from None
-        service = deciding.choose_part(route, random.random())
+        service = self._split.choose_part(route)
         declared_service = current.services.get(service)
         if declared_service is None:
             raise RequestRefused(
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 import json
 import pathlib
 import random
@@ -183,6 +184,31 @@
         assert bool(shares[f's{number}']) is bool(weight)
 
 
+# Load: a fleet in which each node has only a few requests of a split route.
+# Guards against shares that miss the weights by more than the platform allows
+# in so many requests in a row, as random draws of each node did.
+@pytest.mark.parametrize(('window', 'allowed'), [(200, 0.2), (300, 0.1)])
+@pytest.mark.parametrize('nodes', [1, 12, 67, 195])
+@pytest.mark.parametrize('weights', [(50, 50), (90, 10), (1, 1, 1), (0, 7, 3)])
+def test_shares_of_short_windows_keep_the_weights(
+    weights, nodes, window, allowed
+):
+    route, generator = make_split(*weights), random.Random(nodes)
+    splits = [deciding.SplitSequence(generator.random) for _ in range(nodes)]
+    chosen = [
+        generator.choice(splits).choose_part(route) for _ in range(20_000)
+    ]
+    for number, weight in enumerate(weights):
+        hits = [service == f's{number}' for service in chosen]
+        counts = list(itertools.accumulate(hits, initial=0))
+        shares = [
+            (later - earlier) / window
+            for earlier, later in zip(counts, counts[window:], strict=False)
+        ]
+        expected = weight / sum(weights)
+        assert max(abs(share - expected) for share in shares) <= allowed
+
+
 # Guards against 404 for a route that the configuration has, which callers
 # take as final. Columns: weights, reason of the refusal.
 @pytest.mark.parametrize(
--- a/test/test_requestrun.py
+++ b/test/test_requestrun.py
@@ -124,6 +124,26 @@
     assert bool(ports.shares.told) == (count == 0)
 
 
+# Guards against a split route whose requests move to another part when the
+# chosen one is short of room. Columns: refusals before the result.
+@pytest.mark.parametrize('refusals', [1, 2])
+@pytest.mark.parametrize('keyed', [True, False])
+async def test_refused_request_stays_with_its_service(refusals, keyed):
+    peers = requestfakes.FakeTransport(
+        *[requestfakes.FULL_REFUSAL] * refusals, requestfakes.answer()
+    )
+    fake_chooser = requestfakes.ScriptedChooser([2, 3, 2])
+    ports = requestfakes.make_ports(chooser=fake_chooser, peers=peers)
+    await requestfakes.route(ports, keyed=keyed)
+    services = {head.service for _, head in peers.sent}
+    services |= {
+        message.head.service
+        for message in fake_chooser.asked
+        if isinstance(message, choosing.ChooseCandidate)
+    }
+    assert services == {requestfakes.HEAD.service}
+
+
 TOKENS = (sharing.TokenTaken(3),) * 2
 NO_TOKEN = sharing.OverRate(0.5)
 
