Handle signals while a node loads its libraries

Both programs set handlers before they import anything else. SIGTERM ends the process with 0, as it has accepted no work; SIGHUP is taken up when the loop runs, by reading the settings again; SIGUSR1 is ignored until then.

--- a/sesamejunction/ui/hosted.py
+++ b/sesamejunction/ui/hosted.py
@@ -1,6 +1,11 @@
 """Runs the node on the operators' platform."""
 
 # Must come first: the modules imported below load the libraries.
+from sesamejunction.ui import earlysignals  # isort: skip
+
+if __name__ == '__main__':
+    earlysignals.install()
+
 from sesamejunction.ui import loading  # isort: skip
 
 import os
@@ -27,6 +32,7 @@
 
 def main() -> None:
     """Run the command line."""
+    earlysignals.install()
     invocation.run_command(start)
 
 
--- a/sesamejunction/ui/hostednode.py
+++ b/sesamejunction/ui/hostednode.py
@@ -11,6 +11,7 @@
 from sesamejunction.border import hostedsettings
 from sesamejunction import errors
 from sesamejunction.platform import bounds
+from sesamejunction.ui import earlysignals
 from sesamejunction.ui import hostedwiring
 
 # Callers poll readiness once a second, and leave a node after two polls that
@@ -42,6 +43,8 @@
             loop.add_signal_handler(signal_number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         loop.add_signal_handler(signal.SIGUSR1, self._log_dump)
+        if earlysignals.hangup.take():
+            self._reload()
         return self
 
     async def __aexit__(self, *exc):
--- a/sesamejunction/ui/node.py
+++ b/sesamejunction/ui/node.py
@@ -1,5 +1,11 @@
 """Runs the node beside a target."""
 
+# Must come first: the modules imported below load the libraries.
+from sesamejunction.ui import earlysignals  # isort: skip
+
+if __name__ == '__main__':
+    earlysignals.install()
+
 import asyncio
 import contextlib
 import os
@@ -95,6 +101,7 @@
 
 def main() -> None:
     """Run the command line."""
+    earlysignals.install()
     invocation.run_command(start)
 
 
