Order the queue of a target by urgency where there are no organisations

With a queue that is strict by rank and first come, first served within a rank, requests that have missed their objective delay those that could still meet it, and a busy higher rank starves the lower ones. Expected waits count the work ahead instead of the requests, the wait factor is kept by rank, and a request that a more urgent one makes late is refused at its arrival.

Changed tests: test_organisations_take_turns_within_a_rank declares its organisations, since fair queueing now holds for declared ones only; test_few_queued_requests_are_refused_late runs with and without them.

--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -3,9 +3,11 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import typing
 
 from sesamejunction.decisions import fairness
+from sesamejunction.model import requests
 
 # Weight of a new service time in the moving average.
 AVERAGE_WEIGHT = 0.05
@@ -35,6 +37,7 @@
     """A request for the target; times are boot-clock seconds.
 
     ``reply`` is the future that gets the admission or the refusal.
+    ``objective`` and ``standing`` as in requests.Head.
     """
 
     request_id: str
@@ -44,6 +47,21 @@
     deadline: float
     weight: float = 1.0
     reply: typing.Any = None
+    objective: float = math.inf
+    standing: requests.Standing = requests.Standing.NEW
+
+    @property
+    def lane(self) -> tuple[int, int]:
+        """Return the standing and rank as a key; the lowest goes first."""
+        return -self.standing.value, self.rank
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ahead:
+    """Requests that start before another one, and their expected work."""
+
+    count: int
+    work_s: float
 
 
 class ServiceTimes:
@@ -85,10 +103,14 @@
 
 
 class RankedQueue:
-    """Requests by rank; a fair queue of organisations within each rank."""
+    """Requests by rank; a fair queue of organisations within each rank.
 
-    def __init__(self):
-        self._ranks = {}
+    Calls of running requests are queued before those that have not begun.
+    """
+
+    def __init__(self, times: ServiceTimes):
+        self._times = times
+        self._lanes = {}
         self._requests_by_id = {}
 
     def __len__(self):
@@ -97,11 +119,14 @@
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._requests_by_id
 
-    def push(self, pending_request: PendingRequest) -> None:
+    def add_arrival(self, pending_request: PendingRequest) -> None:
+        """Ignore a new request; the shares do not depend on arrivals."""
+
+    def push(self, pending_request: PendingRequest, now: float) -> None:
         """Queue a request; its id must not be in the queue."""
-        queue = self._ranks.get(pending_request.rank)
+        queue = self._lanes.get(pending_request.lane)
         if queue is None:
-            queue = self._ranks[pending_request.rank] = fairness.FairQueue()
+            queue = self._lanes[pending_request.lane] = fairness.FairQueue()
         queue.push(
             pending_request.organisation,
             pending_request.request_id,
@@ -110,12 +135,12 @@
         )
         self._requests_by_id[pending_request.request_id] = pending_request
 
-    def pop(self) -> PendingRequest:
+    def pop(self, now: float) -> PendingRequest:
         """Remove and return the next request."""
-        rank = min(
-            used_rank for used_rank, queue in self._ranks.items() if len(queue)
+        lane = min(
+            used_lane for used_lane, queue in self._lanes.items() if len(queue)
         )
-        pending_request = self._ranks[rank].pop().item
+        pending_request = self._lanes[lane].pop().item
         del self._requests_by_id[pending_request.request_id]
         return pending_request
 
@@ -123,37 +148,43 @@
         """Remove and return a request, or None if it is not queued."""
         pending_request = self._requests_by_id.pop(request_id, None)
         if pending_request is not None:
-            self._ranks[pending_request.rank].remove(
+            self._lanes[pending_request.lane].remove(
                 pending_request.organisation, request_id
             )
         return pending_request
 
-    def list_waiting(self) -> list[PendingRequest]:
+    def list_waiting(self, now: float) -> list[PendingRequest]:
         """Return all requests, the next one first."""
         return [
             queued.item
-            for rank in sorted(self._ranks)
-            for queued in self._ranks[rank].list_waiting()
+            for lane in sorted(self._lanes)
+            for queued in self._lanes[lane].list_waiting()
         ]
 
+    def list_last(self) -> list[PendingRequest]:
+        """Return no requests; late ones are found by ``list_late`` only."""
+        return []
+
     def drain(self) -> list[PendingRequest]:
         """Remove and return all requests."""
         drained = list(self._requests_by_id.values())
-        self._ranks.clear()
+        self._lanes.clear()
         self._requests_by_id.clear()
         return drained
 
-    def count_ahead(self, pending_request: PendingRequest) -> int:
-        """Return how many queued requests would start before a new one."""
+    def measure_ahead(
+        self, pending_request: PendingRequest, now: float
+    ) -> Ahead:
+        """Return what would start before a new request."""
         ahead = 0
-        for rank, queue in self._ranks.items():
-            if rank < pending_request.rank:
+        for lane, queue in self._lanes.items():
+            if lane < pending_request.lane:
                 ahead += len(queue)
-            elif rank == pending_request.rank:
+            elif lane == pending_request.lane:
                 ahead += queue.count_ahead(
                     pending_request.organisation, pending_request.weight
                 )
-        return ahead
+        return Ahead(ahead, ahead * self._times.mean)
 
 
 class ColdWindow:
@@ -209,23 +240,46 @@
     request that would have started in time is worse than a late refusal.
     ``cold_rate`` is 0 for a target that is not cold.
     """
-    late, ahead = [], 0
+    late, ahead, work_s = [], 0, 0.0
     for pending_request in waiting:
-        wait_s = estimate_wait(ahead, slots, times.mean, 1.0)
-        if cold_rate:
-            wait_s = max(wait_s, ahead / cold_rate)
-        needed_s = (
-            wait_s + times.expect(pending_request.route) * MIN_START_FRACTION
+        found = find_late(
+            pending_request, Ahead(ahead, work_s), slots, times, cold_rate, now
         )
-        if now + needed_s > pending_request.deadline:
-            late.append(Late(pending_request, ahead, needed_s))
+        if found is not None:
+            late.append(found)
         else:
             ahead += 1
+            work_s += times.expect(pending_request.route)
     return late
 
 
+def find_late(
+    pending_request: PendingRequest,
+    ahead: Ahead,
+    slots: int,
+    times: ServiceTimes,
+    cold_rate: float,
+    now: float,
+) -> Late | None:
+    """Return why a queued request would start too late, None if it would not.
+
+    Parameters as in list_late.
+    """
+    wait_s = estimate_wait(ahead, slots, times.mean, 1.0)
+    if cold_rate:
+        wait_s = max(wait_s, ahead.count / cold_rate)
+    expected_s = times.expect(pending_request.route)
+    needed_s = wait_s + expected_s * MIN_START_FRACTION
+    if now + needed_s <= pending_request.deadline:
+        return None
+    return Late(pending_request, ahead.count, needed_s)
+
+
 def estimate_wait(
-    ahead: int, slots: int, mean_s: float, factor: float = MIN_WAIT_FACTOR
+    ahead: Ahead, slots: int, mean_s: float, factor: float = MIN_WAIT_FACTOR
 ) -> float:
-    """Return the expected wait in seconds behind ``ahead`` requests."""
-    return (ahead + 1) * mean_s / max(1, slots) * factor
+    """Return the expected wait in seconds behind the requests ahead.
+
+    The wait for the first free slot adds one mean service time.
+    """
+    return (ahead.work_s + mean_s) / max(1, slots) * factor
--- a/sesamejunction/model/requests.py
+++ b/sesamejunction/model/requests.py
@@ -42,6 +42,16 @@
     UNKNOWN = 'unknown'
 
 
+class Standing(enum.Enum):
+    """Whether work has been done that would be lost without a request.
+
+    BEGUN is a call that a running request has made.
+    """
+
+    NEW = 0
+    BEGUN = 1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
     """Head of a request, with its routing parameters.
@@ -55,7 +65,8 @@
     service of the machine that the request came from. ``repeat_share`` is the
     probability that the request exists only because of a retry: 1 for a
     further attempt, less for a call that a target may have made while it ran
-    one.
+    one. A call has the rank of the request that made it, and the earlier
+    objective and deadline of both.
     """
 
     request_id: str
@@ -74,6 +85,7 @@
     max_targets: int | None = None
     caller_service: str = ''
     repeat_share: float = 0.0
+    standing: Standing = Standing.NEW
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -1,11 +1,14 @@
 """Actor that schedules the requests for the target beside this node."""
 
 import asyncio
+import collections
+import dataclasses
 
 from sesamejunction.border import logs
 from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import keyload
 from sesamejunction.decisions import scheduling
+from sesamejunction.decisions import workorder
 from sesamejunction.model import gating
 from sesamejunction.model import journaling
 from sesamejunction.model import leasing
@@ -15,6 +18,7 @@
 from sesamejunction.model import timing
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
+from sesamejunction.tasks import overload
 
 # Time after which new requests to a leaving target are refused; the platform
 # allows 2 s.
@@ -63,10 +67,11 @@
         self._clock = clock
         self._state = state.State()
         self._target_status = leasing.TargetStatus(None, 0, float('-inf'))
-        self._queue = scheduling.RankedQueue()
         self._running = {}
         self._times = scheduling.ServiceTimes()
-        self._wait_factor = scheduling.WaitFactor()
+        self._queue = workorder.WorkQueue(self._times)
+        # By lane: later requests of a higher rank delay the lower ones only.
+        self._wait_factors = collections.defaultdict(scheduling.WaitFactor)
         self._cold_window = scheduling.ColdWindow()
         self._suspect_until = float('-inf')
         self._stopping = False
@@ -112,13 +117,23 @@
             case leasing.AskKeyLoad():
                 return self._report_keys()
             case journaling.StateChanged(state=current):
-                self._state = current
+                self._set_state(current)
 
     async def tick(self) -> None:
         """Refuse queued requests whose wait has become too long."""
         self._refuse_late()
         self.tick_s = CHECK_INTERVAL_S if self._queue else IDLE_S
 
+    def _set_state(self, current) -> None:
+        """Take the state; organisations are served by fair queueing."""
+        is_fair = bool(current.organisations)
+        if is_fair is not bool(self._state.organisations):
+            order = scheduling.RankedQueue if is_fair else workorder.WorkQueue
+            waiting, self._queue = self._queue.drain(), order(self._times)
+            for pending_request in waiting:
+                self._queue.push(pending_request, self._clock())
+        self._state = current
+
     def _report_keys(self) -> leasing.KeyLoadReport:
         return leasing.KeyLoadReport(
             self._keys.list_segments(self._holdings.rows, self._clock()),
@@ -143,6 +158,7 @@
                 requests.Code.REQUEST_BAD,
                 'a request with this id is waiting; use a new id',
             )
+        self._queue.add_arrival(pending_request)
         refusal = self._find_overload(pending_request, now)
         return refusal or self._enqueue(pending_request, now)
 
@@ -168,6 +184,9 @@
             head.rank,
             head.deadline,
             organisation.weight if organisation else 1.0,
+            None,
+            head.objective,
+            head.standing,
         )
 
     def _find_refusal(self, now) -> requests.Refusal | None:
@@ -220,88 +239,105 @@
 
     def _find_overload(self, pending_request, now) -> requests.Refusal | None:
         """Return a refusal if the expected wait exceeds the deadline."""
-        ahead = self._queue.count_ahead(pending_request)
+        ahead = self._queue.measure_ahead(pending_request, now)
+        factor = self._wait_factors[pending_request.lane].value
         wait_s = scheduling.estimate_wait(
-            ahead,
-            self._target_status.slots,
-            self._times.mean,
-            self._wait_factor.value,
+            ahead, self._target_status.slots, self._times.mean, factor
         )
         cold = self._find_cold_rate(now)
         if cold:
-            wait_s = max(wait_s, ahead / cold)
+            wait_s = max(wait_s, ahead.count / cold)
         needed = wait_s + self._times.expect(pending_request.route)
         if now + needed <= pending_request.deadline:
             return None
         inputs = {
-            'rank': pending_request.rank,
-            'ahead': ahead,
+            'ahead': ahead.count,
+            'work_s': round(ahead.work_s, 3),
             'running': len(self._running),
             'slots': self._target_status.slots,
             'cold': int(bool(cold)),
-            'factor': round(self._wait_factor.value, 2),
+            'factor': round(factor, 2),
             'needed_s': round(needed, 3),
-            'left_s': round(pending_request.deadline - now, 3),
         }
+        return self._refuse_wait(
+            pending_request,
+            'the wait would pass the deadline; retry later',
+            *(wait_s, now, inputs),
+        )
+
+    def _refuse_wait(self, pending_request, message, wait_s, now, inputs):
+        refusal = overload.refuse_wait(
+            pending_request, message, wait_s, now, inputs
+        )
         self._logger.log_message(
             'gate: request refused',
             request=pending_request.request_id,
-            **inputs,
-        )
-        return refuse(
-            requests.Code.OVERLOADED,
-            'the wait would pass the deadline; retry later',
-            retry_after_s=max(scheduling.MIN_RETRY_DELAY_S, wait_s / 2),
-            inputs=tuple(inputs.items()),
+            route=pending_request.route,
+            reason=message,
+            **dict(refusal.inputs),
         )
+        return refusal
 
     def _enqueue(self, pending_request, now) -> asyncio.Future:
         reply = asyncio.get_running_loop().create_future()
         self._queue.push(
-            scheduling.PendingRequest(
-                pending_request.request_id,
-                pending_request.organisation,
-                pending_request.route,
-                pending_request.rank,
-                pending_request.deadline,
-                pending_request.weight,
-                reply,
-            )
+            dataclasses.replace(pending_request, reply=reply), now
         )
+        self._refuse_displaced(now)
         self._schedule_start(now)
         self.tick_within(CHECK_INTERVAL_S)
         return reply
 
     def _refuse_late(self) -> None:
-        now, slots = self._clock(), self._target_status.slots
+        now = self._clock()
         late = scheduling.list_late(
-            self._queue.list_waiting(),
-            slots,
+            self._queue.list_waiting(now),
+            self._target_status.slots,
             self._times,
             self._find_cold_rate(now),
             now,
         )
         for overdue in late:
-            pending_request = overdue.pending_request
-            self._queue.remove(pending_request.request_id)
-            if pending_request.reply.done():
-                continue
-            self._wait_factor.count_expiry()
-            inputs = {
-                'ahead': overdue.ahead,
-                'running': len(self._running),
-                'slots': slots,
-                'needed_s': round(overdue.needed_s, 3),
-                'left_s': round(pending_request.deadline - now, 3),
-            }
-            pending_request.reply.set_result(
-                refuse(
-                    requests.Code.OVERLOADED,
-                    'the wait has become too long; retry later',
-                    retry_after_s=scheduling.MIN_RETRY_DELAY_S,
-                    inputs=tuple(inputs.items()),
-                )
+            self._refuse_overdue(overdue, now)
+
+    def _refuse_displaced(self, now) -> None:
+        """Refuse the last of the queue if a new request makes them late.
+
+        Only one of each lane is checked, which is cheap; the next review
+        finds the others.
+        """
+        cold_rate = self._find_cold_rate(now)
+        for last in self._queue.list_last():
+            overdue = scheduling.find_late(
+                last,
+                self._queue.measure_ahead(last, now),
+                self._target_status.slots,
+                self._times,
+                cold_rate,
+                now,
             )
+            if overdue is not None:
+                self._refuse_overdue(overdue, now)
+
+    def _refuse_overdue(self, overdue, now) -> None:
+        pending_request = overdue.pending_request
+        self._queue.remove(pending_request.request_id)
+        if pending_request.reply.done():
+            return
+        self._wait_factors[pending_request.lane].count_expiry()
+        inputs = {
+            'ahead': overdue.ahead,
+            'running': len(self._running),
+            'slots': self._target_status.slots,
+            'needed_s': round(overdue.needed_s, 3),
+        }
+        pending_request.reply.set_result(
+            self._refuse_wait(
+                pending_request,
+                'the wait has become too long; retry later',
+                *(overdue.needed_s, now, inputs),
+            )
+        )
 
     def _start(self, pending_request, now) -> gating.Admitted:
         self._running[pending_request.request_id] = pending_request, now
@@ -318,12 +354,12 @@
                     pending_request.reply.set_result(refusal)
             return
         while self._queue and self._find_start_delay(now) == 0.0:
-            pending_request = self._queue.pop()
+            pending_request = self._queue.pop(now)
             if pending_request.reply.done():
                 continue
             min_time_s = self.estimate_min_time(pending_request.route)
             if now + min_time_s > pending_request.deadline:
-                self._wait_factor.count_expiry()
+                self._wait_factors[pending_request.lane].count_expiry()
                 pending_request.reply.set_result(
                     refuse(
                         requests.Code.DEADLINE,
@@ -333,7 +369,7 @@
                     )
                 )
                 continue
-            self._wait_factor.count_start()
+            self._wait_factors[pending_request.lane].count_start()
             pending_request.reply.set_result(self._start(pending_request, now))
         self._schedule_start(now)
 
@@ -353,7 +389,7 @@
             # If time is left, the caller has gone away, which does not
             # count as an expiry.
             if self._clock() + min_time_s >= waiting.deadline:
-                self._wait_factor.count_expiry()
+                self._wait_factors[waiting.lane].count_expiry()
         started_request = self._running.pop(finished.request_id, None)
         if started_request is not None and finished.latency_s is not None:
             self._times.record(started_request[0].route, finished.latency_s)
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -9,6 +9,7 @@
 
 from sesamejunction.decisions import scheduling
 from sesamejunction.model import gating
+from sesamejunction.model import journaling
 from sesamejunction.model import leasing
 from sesamejunction.model import ranges
 from sesamejunction.model import requests
@@ -35,7 +36,9 @@
     rows = ()
 
 
-def make_head(number, rank=1, left_s=1.0, organisation='one', now=1000.0):
+def make_head(
+    number, rank=1, left_s=1.0, organisation='one', now=1000.0, **fields
+):
     return requests.Head(
         request_id=f'r{number}',
         service='orders',
@@ -48,18 +51,23 @@
         repeatable=False,
         route='order',
         rank=rank,
+        **fields,
     )
 
 
-async def make_scheduler(slots=2, **standing):
+async def make_scheduler(slots=2, organisations=(), **standing):
     clock = Clock()
     made = scheduler.Scheduler('orders', Holdings(), clock)
     await made.handle(
         leasing.TargetStatus(LIFE, slots, **{'cold_until': 0.0, **standing})
     )
-    made._state = dataclasses.replace(
-        state.State(), services={'orders': SERVICE}
+    declared = {
+        name: state.Organisation(name, 0.0, 0.0, 1.0) for name in organisations
+    }
+    current = dataclasses.replace(
+        state.State(), services={'orders': SERVICE}, organisations=declared
     )
+    await made.handle(journaling.StateChanged(current))
     return made, clock
 
 
@@ -182,15 +190,21 @@
         )
 
 
+ORGANISATIONS = ('loud', *(f'small{number}' for number in range(9)))
+
+
 # A busy target with varying latency, a noisy organisation and small ones that
 # take turns with it. Guards against requests that wait until too little time
 # is left, while the expected wait is still short.
+@pytest.mark.parametrize('organisations', [(), ORGANISATIONS])
 @pytest.mark.parametrize(
     ('rate', 'small', 'mean_s'),
     [(40.0, 20.0, 0.13), (30.0, 10.0, 0.25), (10.0, 40.0, 0.2)],
 )
-async def test_few_queued_requests_are_refused_late(rate, small, mean_s):
-    made, clock = await make_scheduler(Server.SLOTS)
+async def test_few_queued_requests_are_refused_late(
+    rate, small, mean_s, organisations
+):
+    made, clock = await make_scheduler(Server.SLOTS, organisations)
     server = Server(made, clock, rate, small, mean_s)
     await server.run(60.0)
     # Nine of ten requests that are queued are served, and the target is not
@@ -250,9 +264,66 @@
     assert not low.done()
 
 
+BEGUN = requests.Standing.BEGUN
+
+# Guards against the loss of work that has begun, and against requests that
+# are served late while others can still meet their objective. Columns:
+# declared organisations, fields of the waiting requests, the one that starts.
+STARTS = {
+    'call first': ((), ({'rank': 0}, {'rank': 2, 'standing': BEGUN}), 1),
+    'call first, fair': (
+        ('one',), ({'rank': 0}, {'rank': 2, 'standing': BEGUN}), 1,
+    ),
+    'least slack': ((), ({'objective': 1000.4}, {'objective': 1000.3}), 1),
+    'missed objective': ((), ({'objective': 1000.0}, {'objective': 1001}), 1),
+    'earliest deadline': (
+        (), ({'objective': 1000.0}, {'objective': 1000.0, 'left_s': 0.9}), 1,
+    ),
+    'first come': ((), ({}, {}), 0),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('organisations', 'waiting', 'expected'), STARTS.values(), ids=STARTS
+)
+async def test_next_request(organisations, waiting, expected):
+    made, clock = await make_scheduler(1, organisations)
+    await admit(made, make_head(0))
+    replies = [
+        await admit(made, make_head(number, **fields))
+        for number, fields in enumerate(waiting, 1)
+    ]
+    clock.now += 0.05
+    await made.handle(gating.WorkFinished('r0', 0.05))
+    started = [one.done() for one in replies]
+    assert started == [number == expected for number in range(len(waiting))]
+
+
+# Guards against a queued request that is held until the next review although
+# a more urgent one has just taken its time. Columns: fields of the new
+# request, whether the waiting one is refused.
+@pytest.mark.parametrize(
+    ('fields', 'is_refused'),
+    [
+        ({'rank': 2, 'left_s': 2.0}, False),
+        ({'rank': 0}, True),
+        ({'rank': 2, 'left_s': 2.0, 'standing': BEGUN}, True),
+    ],
+)
+async def test_displaced_request_is_refused_at_once(fields, is_refused):
+    made, _ = await make_scheduler(slots=1)
+    await admit(made, make_head(0))
+    waiting = await admit(made, make_head(1, left_s=0.12))
+    assert isinstance(waiting, asyncio.Future)
+    await admit(made, make_head(2, **fields))
+    assert waiting.done() is is_refused
+    if is_refused:
+        assert waiting.result().outcome is requests.Outcome.NOT_RUN
+
+
 async def test_organisations_take_turns_within_a_rank():
     """One organisation sends several times its usual load."""
-    made, _ = await make_scheduler(slots=1)
+    made, _ = await make_scheduler(1, ('loud', 'quiet'))
     await admit(made, make_head(0))
     loud = [
         await admit(made, make_head(n, organisation='loud', left_s=5))
