Serve calls of running requests with the urgency of their request

A call that a target makes while it runs a request was an ordinary request at the next target. It waited behind work that had not begun, and when it was refused, the target answered the request with 500 and its work was lost. The node beside the calling target now knows its running requests by the ids that the target knows, finds the parent of a call by the text before the last dot of its id, and passes the parent's rank, the earlier objective and deadline of both and the standing on. Work frames have the trailing field standing; a frame without it counts as not begun. The repeat share of such a call is that of its parent instead of the average.

Without organisations, open routes keep their own rank: all their requests had the first rank, so that ranks meant nothing.

--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -30,14 +30,16 @@
     seconds.
     """
     return linking.Work(
-        *_list_head_fields(number, head, now), body, head.repeat_share
+        *_list_head_fields(number, head, now),
+        *(body, head.repeat_share, head.standing.value),
     )
 
 
 def encode_offer(number, head, size, now) -> linking.WorkOffer:
     """Return the frame that announces a request body of ``size`` bytes."""
     return linking.WorkOffer(
-        *_list_head_fields(number, head, now), size, head.repeat_share
+        *_list_head_fields(number, head, now),
+        *(size, head.repeat_share, head.standing.value),
     )
 
 
@@ -84,6 +86,11 @@
         objective=now + frame.objective_ms / 1000,
         caller_service=frame.caller_service,
         repeat_share=frame.repeat_share,
+        standing=(
+            requests.Standing.BEGUN
+            if frame.standing
+            else requests.Standing.NEW
+        ),
     )
 
 
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -24,9 +24,14 @@
 
 
 class OpenRuns:
-    """Requests that are at the target, and how many of them are repeats."""
+    """Requests that are at the target, and how many of them are repeats.
 
-    def __init__(self):
+    ``find_id`` returns the id by which the target knows a request.
+    """
+
+    def __init__(self, find_id=lambda head: head.request_id):
+        self._find_id = find_id
+        self._heads = {}
         self._count = 0
         self._repeats = 0.0
 
@@ -40,9 +45,15 @@
             return 0.0
         return min(1.0, max(0.0, self._repeats / self._count))
 
+    def find(self, run_id: str) -> requests.Head | None:
+        """Return the request that the target knows by an id, if it runs."""
+        return self._heads.get(run_id)
+
     @contextlib.contextmanager
     def include(self, head: requests.Head):
         """Count the request until the context ends."""
+        run_id = self._find_id(head)
+        self._heads[run_id] = head
         self._count += 1
         self._repeats += head.repeat_share
         try:
@@ -50,6 +61,9 @@
         finally:
             self._count -= 1
             self._repeats -= head.repeat_share
+            # A repeat of the same request may run here too.
+            if self._heads.get(run_id) is head:
+                del self._heads[run_id]
 
 
 @dataclasses.dataclass(slots=True)
--- a/sesamejunction/decisions/routing.py
+++ b/sesamejunction/decisions/routing.py
@@ -37,9 +37,10 @@
 
     The organisation's rank, if it has one, overrides the route's.
     """
-    if route.is_open and not organisation:
+    if route.is_open and not organisation and current.organisations:
         # A call made on behalf of a running request, whose work would be lost
-        # if this one were refused.
+        # if this one were refused. Without organisations, callers use open
+        # routes too.
         return FIRST_RANK
     declared = current.organisations.get(organisation)
     if declared is not None and declared.rank is not None:
--- a/sesamejunction/decisions/workorder.py
+++ b/sesamejunction/decisions/workorder.py
@@ -7,6 +7,7 @@
 """
 
 import bisect
+import dataclasses
 import typing
 import zlib
 
@@ -311,6 +312,24 @@
             ranks.remove(chosen)
 
 
+def inherit_urgency(
+    head: requests.Head, parent: requests.Head
+) -> requests.Head:
+    """Return the head of a call that a running request has made.
+
+    The call is as urgent as its parent, and is of no use when that has ended.
+    It is a repeat if its parent is one.
+    """
+    return dataclasses.replace(
+        head,
+        rank=parent.rank,
+        objective=min(head.objective, parent.objective),
+        deadline=min(head.deadline, parent.deadline),
+        standing=requests.Standing.BEGUN,
+        repeat_share=parent.repeat_share,
+    )
+
+
 def choose_retry_delay(wait_s: float, left_s: float, request_id: str) -> float:
     """Return when a refused caller should come back, in seconds.
 
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -50,11 +50,13 @@
 class Work(WorkHead, tag=2):
     """A request with its body.
 
-    ``repeat_share`` as in requests.Head; earlier versions do not send it.
+    ``repeat_share`` as in requests.Head, ``standing`` the value of a
+    requests.Standing; earlier versions do not send them.
     """
 
     body: bytes
     repeat_share: float = 0.0
+    standing: int = 0
 
 
 class WorkAnswer(Frame, tag=3):
@@ -144,11 +146,12 @@
 
     It has its own tag so that a node of an earlier version closes the
     connection instead of running the request without a body.
-    ``repeat_share`` as in Work.
+    ``repeat_share`` and ``standing`` as in Work.
     """
 
     size: int
     repeat_share: float = 0.0
+    standing: int = 0
 
 
 class AskPart(Frame, tag=16):
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -11,6 +11,7 @@
 from sesamejunction.commands import uploads
 from sesamejunction.commands import wholebodies
 from sesamejunction.decisions import routing as deciding
+from sesamejunction.decisions import workorder
 from sesamejunction import errors
 from sesamejunction.model import ranges
 from sesamejunction.model import requests
@@ -234,7 +235,7 @@
         if not attempt:
             # Targets refuse such a request without running it.
             raise RequestRefused(400, 'the request has no id; nothing has run')
-        return requests.Head(
+        head = requests.Head(
             request_id=f'{attempt}.{next(self._request_numbers)}',
             service=service,
             method=request.method,
@@ -252,10 +253,21 @@
             caller_service=self._context.service,
             repeat_share=self._find_repeat_share(route, request),
         )
+        parent = self._find_parent(attempt)
+        return workorder.inherit_urgency(head, parent) if parent else head
+
+    def _find_parent(self, attempt: str) -> requests.Head | None:
+        """Return the running request that has made a call.
+
+        The target names a call by the id of that request, a dot and a name.
+        """
+        run_id, dot, _ = attempt.rpartition('.')
+        return self._context.open_runs.find(run_id) if dot else None
 
     def _find_repeat_share(self, route, request) -> float:
         """Return the probability that a retry has caused the request.
 
+        It is an average, for calls that do not name the request they are for.
         Calls that the target makes while it runs a request carry no caller
         key, and come from the same address as requests of callers.
         """
--- a/sesamejunction/platform/serverclient.py
+++ b/sesamejunction/platform/serverclient.py
@@ -63,6 +63,11 @@
         self._connections.close_idle()
 
 
+def find_request_id(head: requests.Head) -> str:
+    """Return the id by which the target knows a request."""
+    return find_header(head.headers, REQUEST_ID) or ''
+
+
 def find_header(headers, lower_name: str) -> str | None:
     """Return the first value of a header, None without one."""
     for name, value in headers:
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -293,6 +293,7 @@
             logs.ThrottledLogger(),
             self._metrics,
             clock.read_boot_clock,
+            open_runs=hosting.OpenRuns(serverclient.find_request_id),
         )
 
         async def host_request(head, body):
