Refuse requests whose calls would find no room before they start

A target that runs a request while the service that it calls refuses the calls answers with an error, and the work is lost. The node beside a target learns by route which services its runs call and how the calls of about the last second ended. With less than half of them answered, a request of such a route starts only as often as calls are answered, at least one of ten and one in 0.25 s; the others are refused as not run. Calls of running requests are not refused for this, and runs are not ended.

Starts and refusals are counted by rank, standing and reason, and the time to the objective at the start is a histogram.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -131,6 +131,14 @@
             'key_rows_granted_total',
             'Key ranges granted to the target after a change',
         )
+        self.work_starts = self._add_counts(
+            'work_starts_total',
+            'Requests sent to the target, by rank and standing',
+        )
+        self.work_refusals = self._add_counts(
+            'work_refusals_total',
+            'Refused requests for the target, by rank, standing and reason',
+        )
         self._times = {
             name: self._add_times(name, help_text)
             for name, help_text in (
@@ -140,6 +148,7 @@
                 ('hop_seconds', 'Time of requests sent to another node'),
                 ('connect_seconds', 'Time to connect to a node, by outcome'),
                 ('body_seconds', 'Time until a large body came, by outcome'),
+                ('start_slack_seconds', 'Time to the objective at the start'),
                 ('loop_late_seconds', 'Lateness of the event loop'),
             )
         }
--- a/sesamejunction/commands/bodies.py
+++ b/sesamejunction/commands/bodies.py
@@ -55,6 +55,7 @@
         code = reply.code.value
         reply = dataclasses.replace(reply, load=ports.hosting.scheduler.load)
         ports.hosting.metrics.target_requests.inc({'outcome': code})
+        hosting.count_refusal(ports.hosting, head, reply)
     ports.hosting.metrics.observe(
         'body_seconds',
         ports.hosting.clock() - started,
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -5,6 +5,8 @@
 import dataclasses
 
 from sesamejunction.commands import ports as porting
+from sesamejunction.decisions import calleehealth
+from sesamejunction.decisions import workorder
 from sesamejunction import errors
 from sesamejunction.model import gating
 from sesamejunction.model import leasing
@@ -21,17 +23,35 @@
 # closed as possibly dead. This does not count as a restart of the target: a
 # busy target answers late too, and only a refused connection shows a restart.
 MAX_CONSECUTIVE_MISSES = 2
+# Refusals that tell of too little room at a service, not of a bad request.
+NO_ROOM_CODES = frozenset(
+    (
+        requests.Code.OVERLOADED,
+        requests.Code.NO_OWNER,
+        requests.Code.NO_TARGET,
+        requests.Code.DEADLINE,
+        requests.Code.SHED,
+        requests.Code.LOST,
+    )
+)
+# Input of refusals for too little room at a service that a request needs: the
+# share of its calls that are answered.
+CALLEE_INPUT = 'callee_answered'
+# Slack is observed up to this time; requests without an objective have more.
+MAX_SLACK_S = 10.0
 
 
 class OpenRuns:
     """Requests that are at the target, and how many of them are repeats.
 
     ``find_id`` returns the id by which the target knows a request.
+    ``callees`` has what the runs call.
     """
 
     def __init__(self, find_id=lambda head: head.request_id):
         self._find_id = find_id
         self._heads = {}
+        self.callees = calleehealth.CalleeHealth()
         self._count = 0
         self._repeats = 0.0
 
@@ -49,11 +69,25 @@
         """Return the request that the target knows by an id, if it runs."""
         return self._heads.get(run_id)
 
+    def record_call(
+        self,
+        service: str,
+        reply: requests.Answer | requests.Refusal,
+        now: float,
+    ) -> None:
+        """Record how a call that a run has made to a service has ended."""
+        match reply:
+            case requests.Refusal(code=code) if code in NO_ROOM_CODES:
+                self.callees.record_outcome(service, False, now)
+            case requests.Answer(status=status):
+                self.callees.record_outcome(service, status < 500, now)
+
     @contextlib.contextmanager
     def include(self, head: requests.Head):
         """Count the request until the context ends."""
         run_id = self._find_id(head)
         self._heads[run_id] = head
+        self.callees.add_run(head.route)
         self._count += 1
         self._repeats += head.repeat_share
         try:
@@ -90,15 +124,35 @@
     ports: Ports, head: requests.Head, body: bytes
 ) -> requests.Answer | requests.Refusal:
     """Run a request at the local target; returns Answer or Refusal."""
-    refusal = find_key_refusal(ports, head)
+    refusal = find_key_refusal(ports, head) or _find_callee_refusal(
+        ports, head, is_counted=True
+    )
     if refusal is None:
         reply = await _run_with_permit(ports, head, body)
     else:
         reply = dataclasses.replace(refusal, load=ports.scheduler.load)
     ports.metrics.target_requests.inc(describe_reply(reply))
+    if (
+        isinstance(reply, requests.Refusal)
+        and reply.outcome is requests.Outcome.NOT_RUN
+    ):
+        count_refusal(ports, head, reply)
     return reply
 
 
+def count_refusal(ports: Ports, head, refusal: requests.Refusal) -> None:
+    """Count a request that has not run, by its urgency and the reason."""
+    is_callee = CALLEE_INPUT in dict(refusal.inputs)
+    reason = 'no-callee' if is_callee else refusal.code.value
+    ports.metrics.work_refusals.inc(
+        {**_describe_urgency(head), 'reason': reason}
+    )
+
+
+def _describe_urgency(head) -> dict:
+    return {'rank': str(head.rank), 'standing': head.standing.name.lower()}
+
+
 def describe_reply(reply: requests.Answer | requests.Refusal) -> dict:
     """Return the labels by which a reply is counted.
 
@@ -119,7 +173,9 @@
 
     The request is neither run nor queued.
     """
-    refusal = find_key_refusal(ports, head)
+    refusal = find_key_refusal(ports, head) or _find_callee_refusal(
+        ports, head, is_counted=False
+    )
     if refusal is not None:
         return gating.AdmissionEstimate(refusal, 0.0)
     return await ports.scheduler.ask(gating.CheckAdmission(head))
@@ -157,6 +213,42 @@
     )
 
 
+def _find_callee_refusal(
+    ports, head, is_counted: bool
+) -> requests.Refusal | None:
+    """Return a refusal if the calls of a run would find no room.
+
+    A call of a running request is not refused, since work has been done for
+    it. ``is_counted`` is set for the last decision before the start.
+    """
+    if head.standing is requests.Standing.BEGUN:
+        return None
+    callees, now = ports.open_runs.callees, ports.clock()
+    lack = callees.find_lack(head.route, now)
+    if is_counted:
+        callees.count_decision(head.route, lack is None, now)
+    if lack is None:
+        return None
+    inputs = ((CALLEE_INPUT, round(lack.answered, 2)),)
+    ports.lines.log_message(
+        'gate: request refused',
+        request=head.request_id,
+        route=head.route,
+        rank=head.rank,
+        reason='its calls find no room',
+        callee=lack.service,
+        **dict(inputs),
+    )
+    return refuse(
+        requests.Code.OVERLOADED,
+        'a service that it needs has no room; retry later',
+        retry_after_s=workorder.choose_retry_delay(
+            calleehealth.AVERAGE_S, head.deadline - now, head.request_id
+        ),
+        inputs=inputs,
+    )
+
+
 async def _run_with_permit(ports, head, body):
     """Acquire a permit, send the request and release the permit."""
     report = SendReport()
@@ -167,6 +259,7 @@
             refusal = find_key_refusal(ports, head)
         if refusal is not None:
             return dataclasses.replace(refusal, load=ports.scheduler.load)
+        _record_start(ports, head)
         with ports.open_runs.include(head):
             return await _send(ports, head, body, report)
     finally:
@@ -175,6 +268,13 @@
         )
 
 
+def _record_start(ports, head) -> None:
+    urgency = _describe_urgency(head)
+    ports.metrics.work_starts.inc(urgency)
+    slack_s = min(MAX_SLACK_S, max(0.0, head.objective - ports.clock()))
+    ports.metrics.observe('start_slack_seconds', slack_s, **urgency)
+
+
 async def _acquire_permit(ports, head) -> requests.Refusal | None:
     """Wait for a permit of the target; returns a refusal or None."""
     # The scheduler starts no request that has less time left than this.
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -156,6 +156,10 @@
         outcome = await commands.route_request(
             context.ports, current, head, uploads.Upload(body)
         )
+        if head.standing is requests.Standing.BEGUN:
+            context.open_runs.record_call(
+                head.service, outcome, context.ports.clock()
+            )
         context.audit.record_outcome(
             head, outcome, context.ports.clock() - started
         )
@@ -254,7 +258,10 @@
             repeat_share=self._find_repeat_share(route, request),
         )
         parent = self._find_parent(attempt)
-        return workorder.inherit_urgency(head, parent) if parent else head
+        if parent is None:
+            return head
+        self._context.open_runs.callees.add_call(parent.route, service)
+        return workorder.inherit_urgency(head, parent)
 
     def _find_parent(self, attempt: str) -> requests.Head | None:
         """Return the running request that has made a call.
