--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -242,37 +242,33 @@
     """
     late, ahead, work_s = [], 0, 0.0
     for pending_request in waiting:
-        found = find_late(
-            pending_request, Ahead(ahead, work_s), slots, times, cold_rate, now
+        needed_s = estimate_needed(
+            pending_request, ahead, work_s, slots, times, cold_rate
         )
-        if found is not None:
-            late.append(found)
+        if now + needed_s > pending_request.deadline:
+            late.append(Late(pending_request, ahead, needed_s))
         else:
             ahead += 1
             work_s += times.expect(pending_request.route)
     return late
 
 
-def find_late(
+def estimate_needed(
     pending_request: PendingRequest,
-    ahead: Ahead,
+    ahead: int,
+    work_s: float,
     slots: int,
     times: ServiceTimes,
     cold_rate: float,
-    now: float,
-) -> Late | None:
-    """Return why a queued request would start too late, None if it would not.
+) -> float:
+    """Return the least seconds that a queued request needs from now on.
 
-    Parameters as in list_late.
+    ``ahead`` requests with an expected work of ``work_s`` start before it.
     """
-    wait_s = estimate_wait(ahead, slots, times.mean, 1.0)
+    wait_s = (work_s + times.mean) / max(1, slots)
     if cold_rate:
-        wait_s = max(wait_s, ahead.count / cold_rate)
-    expected_s = times.expect(pending_request.route)
-    needed_s = wait_s + expected_s * MIN_START_FRACTION
-    if now + needed_s <= pending_request.deadline:
-        return None
-    return Late(pending_request, ahead.count, needed_s)
+        wait_s = max(wait_s, ahead / cold_rate)
+    return wait_s + times.expect(pending_request.route) * MIN_START_FRACTION
 
 
 def estimate_wait(
--- a/sesamejunction/decisions/workorder.py
+++ b/sesamejunction/decisions/workorder.py
@@ -113,40 +113,40 @@
 
     def __init__(self):
         self._arrivals = {}
+        self._total = 0.0
         self._due = {}
 
     def add_arrival(self, rank: int) -> None:
         """Count a request that has met a queue, also if it is refused."""
-        for known in self._arrivals:
-            self._arrivals[known] *= 1 - ARRIVAL_WEIGHT
-        known = self._arrivals.get(rank, 0.0)
-        self._arrivals[rank] = known + ARRIVAL_WEIGHT
+        arrivals = self._arrivals
+        for known in arrivals:
+            arrivals[known] *= 1 - ARRIVAL_WEIGHT
+        arrivals[rank] = arrivals.get(rank, 0.0) + ARRIVAL_WEIGHT
+        self._total += (1 - self._total) * ARRIVAL_WEIGHT
 
     def find_kept(self, rank: int) -> float:
         """Return the share of the starts that a rank keeps."""
-        total = sum(self._arrivals.values())
-        if not total:
-            return 0.0
-        return KEPT_SHARE * self._arrivals.get(rank, 0.0) / total
-
-    def choose(self, ranks: list[int]) -> int:
-        """Return the rank that is next; ``ranks`` are sorted."""
-        if len(ranks) == 1:
-            return ranks[0]
-        most = max(ranks, key=lambda rank: self._due.get(rank, 0.0))
-        return most if self._due.get(most, 0.0) >= 1.0 else ranks[0]
-
-    def add_start(self, chosen: int, ranks: list[int]) -> None:
-        """Count a start, while requests of ``ranks`` were waiting."""
+        arrivals = self._arrivals.get(rank)
+        return KEPT_SHARE * arrivals / self._total if arrivals else 0.0
+
+    def start_next(self, ranks: list[int]) -> int:
+        """Return the rank of the next start and count the start.
+
+        Requests of ``ranks``, which are sorted, are waiting.
+        """
+        chosen, most, due = ranks[0], 1.0, self._due
         for rank in ranks:
-            due = self._due.get(rank, 0.0) + self.find_kept(rank)
-            self._due[rank] = min(due, MAX_DUE_STARTS)
-        self._due[chosen] = max(0.0, self._due[chosen] - 1.0)
+            starts = due.get(rank, 0.0)
+            if starts >= most:
+                chosen, most = rank, starts
+            due[rank] = min(starts + self.find_kept(rank), MAX_DUE_STARTS)
+        due[chosen] = max(0.0, due[chosen] - 1.0)
+        return chosen
 
     def copy(self) -> 'RankShares':
         """Return a copy, to find out the order of the next starts."""
         copied = RankShares()
-        copied._arrivals = self._arrivals
+        copied._arrivals, copied._total = self._arrivals, self._total
         copied._due = dict(self._due)
         return copied
 
@@ -270,9 +270,7 @@
         if first[0] != NEW_LANES:
             return self._lanes[first]
         ranks = sorted(rank for _, rank in self._lanes)
-        chosen = self._shares.choose(ranks)
-        self._shares.add_start(chosen, ranks)
-        return self._lanes[NEW_LANES, chosen]
+        return self._lanes[NEW_LANES, self._shares.start_next(ranks)]
 
     def _drop_if_empty(self, name) -> None:
         if not len(self._lanes[name]):
@@ -303,13 +301,14 @@
         if name[0] != NEW_LANES:
             yield from reversed(orders.pop(name))
     ranks = sorted(rank for _, rank in orders)
-    while ranks:
-        chosen = shares.choose(ranks)
-        shares.add_start(chosen, ranks)
+    while len(ranks) > 1:
+        chosen = shares.start_next(ranks)
         tickets = orders[NEW_LANES, chosen]
         yield tickets.pop()
         if not tickets:
             ranks.remove(chosen)
+    for rank in ranks:
+        yield from reversed(orders[NEW_LANES, rank])
 
 
 def inherit_urgency(
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -308,16 +308,15 @@
         """
         cold_rate = self._find_cold_rate(now)
         for last in self._queue.list_last():
-            overdue = scheduling.find_late(
-                last,
-                self._queue.measure_ahead(last, now),
-                self._target_status.slots,
-                self._times,
-                cold_rate,
-                now,
+            ahead = self._queue.measure_ahead(last, now)
+            needed_s = scheduling.estimate_needed(
+                *(last, ahead.count, ahead.work_s),
+                *(self._target_status.slots, self._times, cold_rate),
             )
-            if overdue is not None:
-                self._refuse_overdue(overdue, now)
+            if now + needed_s > last.deadline:
+                self._refuse_overdue(
+                    scheduling.Late(last, ahead.count, needed_s), now
+                )
 
     def _refuse_overdue(self, overdue, now) -> None:
         pending_request = overdue.pending_request
