--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -131,10 +131,6 @@
             'key_rows_granted_total',
             'Key ranges granted to the target after a change',
         )
-        self.work_starts = self._add_counts(
-            'work_starts_total',
-            'Requests sent to the target, by rank and standing',
-        )
         self.work_refusals = self._add_counts(
             'work_refusals_total',
             'Refused requests for the target, by rank, standing and reason',
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -37,6 +37,7 @@
 # Input of refusals for too little room at a service that a request needs: the
 # share of its calls that are answered.
 CALLEE_INPUT = 'callee_answered'
+STANDING_NAMES = {one: one.name.lower() for one in requests.Standing}
 # Slack is observed up to this time; requests without an objective have more.
 MAX_SLACK_S = 10.0
 
@@ -150,7 +151,7 @@
 
 
 def _describe_urgency(head) -> dict:
-    return {'rank': str(head.rank), 'standing': head.standing.name.lower()}
+    return {'rank': str(head.rank), 'standing': STANDING_NAMES[head.standing]}
 
 
 def describe_reply(reply: requests.Answer | requests.Refusal) -> dict:
@@ -224,6 +225,8 @@
     if head.standing is requests.Standing.BEGUN:
         return None
     callees, now = ports.open_runs.callees, ports.clock()
+    if not callees.is_short:
+        return None
     lack = callees.find_lack(head.route, now)
     if is_counted:
         callees.count_decision(head.route, lack is None, now)
@@ -269,10 +272,10 @@
 
 
 def _record_start(ports, head) -> None:
-    urgency = _describe_urgency(head)
-    ports.metrics.work_starts.inc(urgency)
     slack_s = min(MAX_SLACK_S, max(0.0, head.objective - ports.clock()))
-    ports.metrics.observe('start_slack_seconds', slack_s, **urgency)
+    ports.metrics.observe(
+        'start_slack_seconds', slack_s, **_describe_urgency(head)
+    )
 
 
 async def _acquire_permit(ports, head) -> requests.Refusal | None:
--- a/sesamejunction/decisions/calleehealth.py
+++ b/sesamejunction/decisions/calleehealth.py
@@ -85,6 +85,12 @@
     def __init__(self):
         self._routes = {}
         self._callees = {}
+        self._short = set()
+
+    @property
+    def is_short(self) -> bool:
+        """Return whether the calls to any service failed lately."""
+        return bool(self._short)
 
     def add_run(self, route: str) -> None:
         """Count the start of a run."""
@@ -114,6 +120,10 @@
         if callee is None:
             callee = self._callees[service] = Callee()
         callee.record(is_answered, now)
+        if callee.answered < ROOM_SHARE:
+            self._short.add(service)
+        else:
+            self._short.discard(service)
 
     def find_lack(self, route: str, now: float) -> NoRoom | None:
         """Return why a request of a route should not start now.
@@ -148,7 +158,7 @@
         lacks = [
             NoRoom(name, self._callees[name].find_answered(now))
             for name in known.list_needed()
-            if name in self._callees
+            if name in self._short
         ]
         worst = min(lacks, key=lambda one: one.answered, default=None)
         if worst is None or worst.answered >= ROOM_SHARE:
--- a/sesamejunction/decisions/workorder.py
+++ b/sesamejunction/decisions/workorder.py
@@ -1,9 +1,10 @@
 """Order of the requests that wait for one target, by urgency.
 
 Calls of running requests go first, since work that is lost without them has
-been done already. Then the ranks follow each other, but each rank keeps a
-share of the starts. Within a rank, requests that can still meet their latency
-objective go first, by slack, then those that can only meet their deadline.
+been done already, then the ranks follow each other. Calls and each rank have a
+lane, and each lane keeps a share of the starts. Within a lane, requests that
+can still meet their latency objective go first, by slack, then those that can
+only meet their deadline.
 """
 
 import bisect
@@ -14,15 +15,15 @@
 from sesamejunction.decisions import scheduling
 from sesamejunction.model import requests
 
-# Share of the starts that a rank keeps, as a fraction of its share of the
+# Share of the starts that a lane keeps, as a fraction of its share of the
 # arrivals. No kind may be served less than a quarter as often as all; the
 # remainder covers requests that start and are not answered in time.
 # With more, less value is served at a busy target (docs/design/order-of-work).
 KEPT_SHARE = 0.3
-# Starts that a rank may have due. More would let it hold all slots after a
+# Starts that a lane may have due. More would let it hold all slots after a
 # burst of a higher rank.
 MAX_DUE_STARTS = 2.0
-# Weight of an arrival in the shares of the ranks; averages over 200 arrivals.
+# Weight of an arrival in the shares of the lanes; averages over 200 arrivals.
 ARRIVAL_WEIGHT = 0.005
 # Part of the time left within which a refused caller comes back. Callers keep
 # delays of up to a third; the remainder covers the way back.
@@ -105,10 +106,10 @@
         self.work_s = self.work_s - ticket.expected_s if len(self) else 0.0
 
 
-class RankShares:
-    """Shares of the ranks in the arrivals, and starts that are due to them.
+class LaneShares:
+    """Shares of the lanes in the arrivals, and starts that are due to them.
 
-    ``due`` grows with each start while a request of the rank waits.
+    ``due`` grows with each start while a request of the lane waits.
     """
 
     def __init__(self):
@@ -116,36 +117,36 @@
         self._total = 0.0
         self._due = {}
 
-    def add_arrival(self, rank: int) -> None:
+    def add_arrival(self, name: tuple[int, int]) -> None:
         """Count a request that has met a queue, also if it is refused."""
         arrivals = self._arrivals
         for known in arrivals:
             arrivals[known] *= 1 - ARRIVAL_WEIGHT
-        arrivals[rank] = arrivals.get(rank, 0.0) + ARRIVAL_WEIGHT
+        arrivals[name] = arrivals.get(name, 0.0) + ARRIVAL_WEIGHT
         self._total += (1 - self._total) * ARRIVAL_WEIGHT
 
-    def find_kept(self, rank: int) -> float:
-        """Return the share of the starts that a rank keeps."""
-        arrivals = self._arrivals.get(rank)
+    def find_kept(self, name: tuple[int, int]) -> float:
+        """Return the share of the starts that a lane keeps."""
+        arrivals = self._arrivals.get(name)
         return KEPT_SHARE * arrivals / self._total if arrivals else 0.0
 
-    def start_next(self, ranks: list[int]) -> int:
-        """Return the rank of the next start and count the start.
+    def start_next(self, names: list[tuple[int, int]]) -> tuple[int, int]:
+        """Return the lane of the next start and count the start.
 
-        Requests of ``ranks``, which are sorted, are waiting.
+        ``names`` are the sorted names of the lanes with waiting requests.
         """
-        chosen, most, due = ranks[0], 1.0, self._due
-        for rank in ranks:
-            starts = due.get(rank, 0.0)
+        chosen, most, due = names[0], 1.0, self._due
+        for name in names:
+            starts = due.get(name, 0.0)
             if starts >= most:
-                chosen, most = rank, starts
-            due[rank] = min(starts + self.find_kept(rank), MAX_DUE_STARTS)
+                chosen, most = name, starts
+            due[name] = min(starts + self.find_kept(name), MAX_DUE_STARTS)
         due[chosen] = max(0.0, due[chosen] - 1.0)
         return chosen
 
-    def copy(self) -> 'RankShares':
+    def copy(self) -> 'LaneShares':
         """Return a copy, to find out the order of the next starts."""
-        copied = RankShares()
+        copied = LaneShares()
         copied._arrivals, copied._total = self._arrivals, self._total
         copied._due = dict(self._due)
         return copied
@@ -162,7 +163,7 @@
         self._times = times
         self._lanes = {}
         self._tickets = {}
-        self._shares = RankShares()
+        self._shares = LaneShares()
         self._last_number = 0
 
     def __len__(self):
@@ -173,8 +174,7 @@
 
     def add_arrival(self, pending_request) -> None:
         """Count a new request that cannot start at once."""
-        if pending_request.standing is requests.Standing.NEW:
-            self._shares.add_arrival(pending_request.rank)
+        self._shares.add_arrival(pending_request.lane)
 
     def push(self, pending_request, now: float) -> None:
         """Queue a request; its id must not be in the queue."""
@@ -251,8 +251,8 @@
             before = lane.count_before(ticket, now) - (own is not None)
             work_s += lane.work_s * before / len(lane)
         ahead += before
-        kept = self._shares.find_kept(pending_request.rank)
-        if kept and pending_request.standing is requests.Standing.NEW:
+        kept = self._shares.find_kept(pending_request.lane)
+        if kept:
             by_share = int((before + 1) / kept)
             if by_share < ahead:
                 return scheduling.Ahead(by_share, work_s * by_share / ahead)
@@ -266,21 +266,13 @@
         )
 
     def _choose_lane(self) -> Lane:
-        first = min(self._lanes)
-        if first[0] != NEW_LANES:
-            return self._lanes[first]
-        ranks = sorted(rank for _, rank in self._lanes)
-        return self._lanes[NEW_LANES, self._shares.start_next(ranks)]
+        return self._lanes[self._shares.start_next(sorted(self._lanes))]
 
     def _drop_if_empty(self, name) -> None:
         if not len(self._lanes[name]):
             del self._lanes[name]
 
 
-# First part of the names of the lanes of requests that have not begun.
-NEW_LANES = -requests.Standing.NEW.value
-
-
 def rate_by_deadline(ticket: Ticket) -> Ticket:
     """Return the place of a request that can only meet its deadline."""
     return Ticket(
@@ -291,24 +283,21 @@
     )
 
 
-def list_order(orders: dict, shares: RankShares):
+def list_order(orders: dict, shares: LaneShares):
     """Yield tickets in the order in which they would start.
 
     ``orders`` has the tickets of each lane, the next one last; they are
     consumed.
     """
-    for name in sorted(orders):
-        if name[0] != NEW_LANES:
-            yield from reversed(orders.pop(name))
-    ranks = sorted(rank for _, rank in orders)
-    while len(ranks) > 1:
-        chosen = shares.start_next(ranks)
-        tickets = orders[NEW_LANES, chosen]
+    names = sorted(orders)
+    while len(names) > 1:
+        chosen = shares.start_next(names)
+        tickets = orders[chosen]
         yield tickets.pop()
         if not tickets:
-            ranks.remove(chosen)
-    for rank in ranks:
-        yield from reversed(orders[NEW_LANES, rank])
+            names.remove(chosen)
+    for name in names:
+        yield from reversed(orders[name])
 
 
 def inherit_urgency(
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -286,12 +286,13 @@
         method='GET',
         deadline_ms=1000,
         body=None,
+        request_id=None,
     ):
         """Return status and body of one request through a machine."""
         self._count += 1
         headers = {
             'Host': 'shop.example',
-            'X-Attempt-Id': f'attempt-{self._count}',
+            'X-Attempt-Id': request_id or f'attempt-{self._count}',
             'X-Deadline-Ms': str(deadline_ms),
             'Authorization': f'Token {token}',
         }
@@ -311,6 +312,12 @@
         except aiohttp.ClientError:
             return 0, b''
 
+    async def fetch_metrics(self, machine):
+        """Return the text of a machine's metrics page."""
+        url = f'http://{machine.address("metrics")}/metrics'
+        async with self._session.get(url) as reply:
+            return await reply.text()
+
     async def is_served(self, machine):
         for key in range(0, 65536, 8192):
             status, _ = await self.call(machine, '/look/x', key)
@@ -383,6 +390,33 @@
             assert found[0] == expected
 
 
+async def test_call_of_a_running_request_keeps_its_rank():
+    """Guards against calls that wait behind work that has not begun.
+
+    The order has rank 0, lookups have rank 1.
+    """
+    async with Fleet() as fleet:
+        owner, calling = fleet.machines[0], fleet.machines[3]
+        calling.server.work_s = 0.5
+        received = calling.server.received_requests
+        order = asyncio.ensure_future(
+            fleet.call(calling, '/order/1', method='POST')
+        )
+        async with asyncio.timeout(READY_S):
+            while not received:
+                await asyncio.sleep(0.01)
+        run_id = received[-1][1]['X-Attempt-Id']
+        key = owner.server.holds[0][0]
+        status, _ = await fleet.call(
+            calling, '/look/x', key, request_id=f'{run_id}.2e96177b'
+        )
+        assert status == 200
+        assert (await order)[0] == 200
+        text = await fleet.fetch_metrics(owner)
+        started = 'start_slack_seconds_count{rank="0",standing="begun"} 1'
+        assert started in text
+
+
 async def test_large_upload_passes_two_nodes_whole():
     """Guards against lost, duplicated or reordered parts of a body."""
     async with Fleet() as fleet:
--- a/test/test_workorder.py
+++ b/test/test_workorder.py
@@ -234,6 +234,9 @@
         [vary(BOOKING, burst(18, 1.7)), READ, IMPORT], 7, 1,
     ),
     'calls against imports': ([CALL, vary(IMPORT, steady(18))], 6, 1),
+    'calls above capacity': (
+        [vary(CALL, steady(160)), vary(IMPORT, steady(6))], 6, 1,
+    ),
     'all slow': ([BOOKING, READ, IMPORT], 7, 1.8),
 }  # fmt: skip
 
