Choose targets by expected finish

The choice by latency x (1 + pending) rests on figures that are seconds old. Where targets report their speed and the configuration has no organisations, the chooser draws two targets beside its own, asks their nodes for the expected wait (tags 20 and 21, at most 5 ms) and takes the one that would answer first. Nodes are asked once they have reported work_s, so earlier versions never see the tag. Another zone is asked and used only for a gain of 25 ms.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -127,6 +127,10 @@
             'declarations_unreadable_total',
             'Parts of configurations that could not be read, by part',
         )
+        self.choices = self._add_counts(
+            'target_choices_total',
+            'Targets chosen by expected finish, by what was known of them',
+        )
         self.loads_unreadable = self._add_counts(
             'target_loads_unreadable_total',
             'Load headers of the target that could not be read',
--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -6,6 +6,7 @@
 
 from sesamejunction.commands import wholebodies
 from sesamejunction import errors
+from sesamejunction.model import choosing
 from sesamejunction.model import leasing
 from sesamejunction.model import linking
 from sesamejunction.model import registry
@@ -160,6 +161,8 @@
             return linking.LoadQuestion(number)
         case registry.AskNews(topic=topic, end=end, wait_s=wait_s):
             return linking.NewsQuestion(number, topic, end, int(wait_s * 1e3))
+        case choosing.AskExpectedWait(service=service, route=route):
+            return linking.WaitQuestion(number, service, route)
 
 
 def decode_question_reply(frame):
@@ -169,6 +172,10 @@
             return frame
         case linking.NewsReply():
             return decode_news(frame)
+        case linking.WaitReply():
+            return choosing.ExpectedWait(
+                frame.wait_s, frame.run_s, frame.slots
+            )
         case _:
             return frame.body
 
--- a/sesamejunction/model/choosing.py
+++ b/sesamejunction/model/choosing.py
@@ -33,6 +33,41 @@
     hedge_delay_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskExpectedWait:
+    """Asks a node for the expected wait of one more request of a route.
+
+    The reply is ExpectedWait.
+    """
+
+    service: str
+    route: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExpectedWait:
+    """Expected wait and run time of one more request, in seconds.
+
+    ``wait_s`` is infinite if the node would refuse it. ``slots`` is how many
+    requests run at the target at once.
+    """
+
+    wait_s: float
+    run_s: float
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitsAnswered:
+    """The questions of a choice have ended.
+
+    ``answers`` has (ExpectedWait, time of arrival) by incarnation.
+    """
+
+    choice: object
+    answers: dict
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoCandidate:
     """No candidate; ``is_permanent`` means that waiting cannot help."""
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -198,6 +198,25 @@
     as_of_s: float
 
 
+class WaitQuestion(Frame, tag=20):
+    """Requests the expected wait of one more request, as AskExpectedWait.
+
+    It is sent only to nodes that have reported ``work_s``: a node of an
+    earlier version, which does not know the tag, ends the connection.
+    """
+
+    service: str
+    route: str
+
+
+class WaitReply(Frame, tag=21):
+    """Answers WaitQuestion; fields as in choosing.ExpectedWait."""
+
+    wait_s: float
+    run_s: float
+    slots: int
+
+
 FRAMES = (
     Hello
     | Work
@@ -218,6 +237,8 @@
     | BodyPart
     | NewsQuestion
     | NewsReply
+    | WaitQuestion
+    | WaitReply
 )
 REPLIES = (
     WorkAnswer,
@@ -226,5 +247,6 @@
     CopyReply,
     LoadReply,
     NewsReply,
+    WaitReply,
     Pong,
 )
--- a/sesamejunction/tasks/chooser.py
+++ b/sesamejunction/tasks/chooser.py
@@ -1,5 +1,6 @@
 """Actor that picks the node for each attempt of a request."""
 
+import asyncio
 import random
 
 from hdrh import histogram
@@ -14,6 +15,7 @@
 from sesamejunction.queries import routes
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
+from sesamejunction.tasks import finishchoices
 
 # One significant digit is precise enough for the hedging delay and makes
 # reading the percentile cheap. Longer latencies are counted as MAX_LATENCY_US.
@@ -65,7 +67,8 @@
     percentiles that set the delay of hedged attempts. Results of attempts
     update the statistics of the targets. ``count_retry`` is called with the
     labels of each retry that was allowed or denied. ``retry_limits`` are the
-    operators' limits for the whole fleet.
+    operators' limits for the whole fleet. ``waits`` asks other nodes for
+    expected waits (tasks/waitquestions), None for the choice without them.
     """
 
     name = 'chooser'
@@ -77,6 +80,8 @@
         draw=random.randrange,
         count_retry=lambda labels: None,
         retry_limits: retrybudget.Limits = retrybudget.DEFAULT_LIMITS,
+        waits=None,
+        count_choice=lambda labels: None,
     ):
         super().__init__()
         self._incarnation = incarnation
@@ -91,6 +96,9 @@
         self._retry_limits = retry_limits
         self._count_retry = count_retry
         self._logger = logs.ThrottledLogger()
+        self._finish_choices = finishchoices.FinishChoices(
+            incarnation, zone, waits, draw, count_choice
+        )
 
     async def handle(self, message):
         """Handle one message."""
@@ -99,6 +107,11 @@
                 return self._choose(message)
             case choosing.AttemptEnded():
                 self._record_result(message)
+            case choosing.WaitsAnswered(choice=choice, answers=answers):
+                self._finish_choices.take_answers(choice, answers)
+                # If the request has ended, its attempt would never end.
+                if not choice.reply.done():
+                    choice.reply.set_result(self._decide(choice))
             case choosing.TakeRetry():
                 return self._take_retry(message)
             case choosing.ReturnRetry(service=service):
@@ -169,6 +182,7 @@
         self._ended.intersection_update(current.members)
         for gone in self._target_stats.keys() - current.members.keys():
             del self._target_stats[gone]
+        self._finish_choices.forget_gone(current)
         for gone in self._latencies.keys() - current.services.keys():
             del self._latencies[gone]
         for gone in self._budgets.keys() - current.services.keys():
@@ -244,15 +258,56 @@
             member_id: targets[member_id].member.zone for member_id in untried
         }
         now = clock.read_boot_clock()
+        if self._finish_choices.apply_to(self._state, service, targets):
+            return self._choose_by_finish(message, targets, untried)
         best = loadbalancing.choose_target(
             untried, zones, self._zone, self._draw, now
         )
-        self._target_stats[best] = loadbalancing.start_attempt(untried[best])
-        latencies = self._latencies.get(service.name)
+        return self._start_attempt(
+            service.name, targets[best], len(untried) > 1
+        )
+
+    def _start_attempt(self, service, candidate, has_other):
+        """Record an attempt at the candidate and return it as chosen."""
+        member_id = candidate.member.incarnation
+        self._target_stats[member_id] = loadbalancing.start_attempt(
+            self._target_stats.get(member_id, loadbalancing.TargetStats())
+        )
+        latencies = self._latencies.get(service)
         hedge_delay_s = (
-            latencies.percentile_s if latencies and len(untried) > 1 else None
+            latencies.percentile_s if latencies and has_other else None
+        )
+        return choosing.Chosen(candidate, hedge_delay_s)
+
+    def _choose_by_finish(self, message, targets, untried):
+        """Return the target chosen, or its future while nodes are asked."""
+        head = message.head
+        eligible = loadbalancing.list_not_ejected(
+            untried, clock.read_boot_clock()
+        )
+        choice = self._finish_choices.begin(
+            *(head, {one: targets[one] for one in eligible}),
+            len(untried) > 1,
+        )
+        if not choice.stale:
+            return self._decide(choice)
+        choice.reply = asyncio.get_running_loop().create_future()
+        self._finish_choices.ask(
+            choice,
+            lambda answers: self.tell_reliably(
+                choosing.WaitsAnswered(choice, answers)
+            ),
         )
-        return choosing.Chosen(targets[best], hedge_delay_s)
+        return choice.reply
+
+    def _decide(self, choice):
+        best = self._finish_choices.decide(choice, self._find_stats)
+        return self._start_attempt(
+            choice.service, choice.candidates[best], choice.has_other
+        )
+
+    def _find_stats(self, member_id) -> loadbalancing.TargetStats:
+        return self._target_stats.get(member_id, loadbalancing.TargetStats())
 
     def _record_result(self, message):
         if message.latency_s is not None:
@@ -260,6 +315,8 @@
             if latencies is None:
                 latencies = self._latencies[message.service] = Latencies()
             latencies.record(message.latency_s)
+        if message.load is not None and message.load.work_s is not None:
+            self._finish_choices.note_report(message.incarnation)
         stats = self._target_stats.get(message.incarnation)
         if stats is None:
             return
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -244,11 +244,23 @@
             link.end_exchange(number)
         return linkcodec.decode_question_reply(frame)
 
-    async def _connect(self, member, is_bulk, left_s) -> linkage.Link:
-        key = member.incarnation, is_bulk
+    def start_question(self, member, message):
+        """Send a question on an open connection for small frames.
+
+        Returns the connection, the id of the exchange and the future of the
+        reply frame. Without a connection it returns None and begins to open
+        one for later questions. The caller ends the exchange.
+        """
+        key = member.incarnation, False
         link = self._links.get(key)
-        if link is not None and link.is_usable:
-            return link
+        if link is None or not link.is_usable:
+            self._start_connecting(member, key)
+            return None
+        number, future = link.start_exchange()
+        link.send_frame(linkcodec.encode_question(number, message))
+        return link, number, future
+
+    def _start_connecting(self, member, key) -> asyncio.Task:
         attempt = self._connecting.get(key)
         if attempt is None:
             attempt = asyncio.ensure_future(self._open(member, key))
@@ -256,6 +268,14 @@
             attempt.add_done_callback(
                 lambda done: self._note_connected(key, done)
             )
+        return attempt
+
+    async def _connect(self, member, is_bulk, left_s) -> linkage.Link:
+        key = member.incarnation, is_bulk
+        link = self._links.get(key)
+        if link is not None and link.is_usable:
+            return link
+        attempt = self._start_connecting(member, key)
         try:
             async with asyncio.timeout(max(0.0, min(CONNECT_WAIT_S, left_s))):
                 link = await asyncio.shield(attempt)
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -1,11 +1,13 @@
 """Actor that schedules the requests for the target beside this node."""
 
 import asyncio
+import math
 
 from sesamejunction.border import logs
 from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import keyload
 from sesamejunction.decisions import scheduling
+from sesamejunction.model import choosing
 from sesamejunction.model import gating
 from sesamejunction.model import journaling
 from sesamejunction.model import leasing
@@ -94,6 +96,23 @@
         """Return the seconds that a request must have left to be started."""
         return self._times.expect(route) * scheduling.MIN_START_FRACTION
 
+    def estimate_wait(self, route: str) -> choosing.ExpectedWait:
+        """Return the expected wait of one more request of a route."""
+        now = self._clock()
+        slots = self._find_limit()
+        if slots < 1 or self._find_refusal(now) is not None:
+            return choosing.ExpectedWait(math.inf, 0.0, slots)
+        load = self.load
+        work_s = load.work_s
+        if work_s is None:
+            work_s = (load.in_flight + load.queued) * load.latency_s
+        wait_s = work_s / slots
+        cold_rate = self._find_cold_rate(now)
+        if cold_rate:
+            delay_s = self._cold_window.find_send_delay(cold_rate, now)
+            wait_s = max(wait_s, delay_s + load.queued / cold_rate)
+        return choosing.ExpectedWait(wait_s, self._times.expect(route), slots)
+
     async def handle(self, message):
         """Handle one message."""
         match message:
@@ -209,9 +228,13 @@
             )
         return None
 
+    def _find_limit(self) -> int:
+        """Return how many requests may be at the target at once."""
+        return self._target_status.slots
+
     def _find_start_delay(self, now) -> float:
         """Return the seconds until a request may start, inf if full."""
-        if len(self._running) >= self._target_status.slots:
+        if len(self._running) >= self._find_limit():
             return float('inf')
         limit = self._find_cold_rate(now)
         return self._cold_window.find_send_delay(limit, now) if limit else 0.0
--- a/sesamejunction/ui/hostedqueries.py
+++ b/sesamejunction/ui/hostedqueries.py
@@ -1,9 +1,12 @@
 """Answers queries from other nodes with the tasks of this node."""
 
+import math
+
 import eliot
 
 from sesamejunction.border import linkcodec
 from sesamejunction import errors
+from sesamejunction.model import choosing
 from sesamejunction.model import leasing
 from sesamejunction.model import linking
 from sesamejunction.model import registry
@@ -13,10 +16,12 @@
 class QueryHandler:
     """Passes each query to the task that can answer it.
 
-    ``followers`` read the topics that other nodes may copy from this one.
+    ``followers`` read the topics that other nodes may copy from this one,
+    ``service`` is the one of the target beside this node.
     """
 
-    def __init__(self, lease, terms, scheduler, followers):
+    def __init__(self, lease, terms, scheduler, followers, service=''):
+        self._service = service
         self._lease = lease
         self._terms = terms
         self._scheduler = scheduler
@@ -53,12 +58,22 @@
                     return await self._copy_topic(frame.id, topic)
                 case linking.NewsQuestion():
                     return await self._answer_news(frame)
+                case linking.WaitQuestion():
+                    return self._answer_wait(frame)
                 case _:
                     return None
         except errors.SesameError as error:
             eliot.log_message('peer: question failed', reason=str(error))
             return None
 
+    def _answer_wait(self, frame) -> linking.WaitReply:
+        expected = choosing.ExpectedWait(math.inf, 0.0, 0)
+        if frame.service == self._service:
+            expected = self._scheduler.estimate_wait(frame.route)
+        return linking.WaitReply(
+            frame.id, expected.wait_s, expected.run_s, expected.slots
+        )
+
     async def _copy_topic(self, frame_id, topic):
         follower = self._followers.get(topic)
         if follower is None:
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -51,6 +51,7 @@
 from sesamejunction.tasks import terms
 from sesamejunction.tasks import topicsources
 from sesamejunction.tasks import usage
+from sesamejunction.tasks import waitquestions
 from sesamejunction.ui import hostedqueries
 from sesamejunction.ui import loading
 
@@ -251,6 +252,10 @@
             node_settings.zone,
             count_retry=self._metrics.retries.inc,
             retry_limits=bounds.decode_retry_limits(node_settings.bounds),
+            waits=waitquestions.WaitQuestions(
+                *(self._links, self._scheduler, node_settings.target_service)
+            ),
+            count_choice=self._metrics.choices.inc,
         )
         self._planner = rangeplanner.RangePlanner(
             node_settings.name,
@@ -307,6 +312,7 @@
             self._terms,
             self._scheduler,
             (self._declared, self._fleet),
+            node_settings.target_service,
         )
         self._links.answer_locally = query_handler.answer_local
         self._answer = query_handler.answer
