Learn how many requests a target can hold

A full target resets the connection or never answers; the node went on sending it all announced slots, and each such request waited for its deadline. The scheduler now holds a limit that falls when the target refuses, closes the connection before an answer or gives none for 8 times the expected time, and rises with answers. Requests that may be repeated are given up after that time, their connection is closed, and they occupy a place until the target can have dropped them.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -145,6 +145,7 @@
                 ('request_seconds', 'Time to the reply, by outcome'),
                 ('queue_seconds', 'Wait for a place at the target'),
                 ('target_seconds', 'Time at the target'),
+                ('beyond_expected_seconds', 'Time there beyond expectation'),
                 ('hop_seconds', 'Time of requests sent to another node'),
                 ('connect_seconds', 'Time to connect to a node, by outcome'),
                 ('body_seconds', 'Time until a large body came, by outcome'),
@@ -156,6 +157,9 @@
             for name, help_text in (
                 ('target_running', 'Requests at the target'),
                 ('target_waiting', 'Requests waiting for the target'),
+                ('target_limit', 'Requests that the target may get at once'),
+                ('target_abandoned', 'Abandoned requests that may run there'),
+                ('target_slowness', 'Times slower than usual, as reported'),
                 ('members_silent', 'Members not heard of lately'),
                 ('declared_version', 'Version of the declarations'),
                 ('declared_age_seconds', 'Age of the declarations copy'),
--- a/sesamejunction/border/targetconnections.py
+++ b/sesamejunction/border/targetconnections.py
@@ -137,6 +137,7 @@
         self._accepts = None
         self._reusable = True
         self._has_head = False
+        self._has_bytes = False
         self.is_lost = False
 
     def connection_made(self, transport):
@@ -189,7 +190,7 @@
         self._waiter = asyncio.get_running_loop().create_future()
         self._accepts = accepts
         self._parser = httptools.HttpResponseParser(self)
-        self._has_head = False
+        self._has_head = self._has_bytes = False
         self._complete_answer = None
         self.size = self._framing_bytes = self._interim_count = (
             self._other_count
@@ -215,13 +216,11 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def fail(self, reason: str) -> None:
+    def fail(self, reason: str, kind=errors.TargetAnswerLost) -> None:
         """Fail the current exchange and close the connection."""
         self._reusable = False
         if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(
-                errors.TargetAnswerLost(f'{reason} in place of an answer')
-            )
+            self._waiter.set_exception(kind(f'{reason} in place of an answer'))
             # Release the received bytes now, not when the request ends.
             self._answer = None
             self._budget.remove_connection(self)
@@ -236,6 +235,7 @@
         if self._waiter is None or self._waiter.done():
             self.abort()
             return
+        self._has_bytes = True
         size_before = self.size
         try:
             self._parser.feed_data(self._budget.read_buffer[:nbytes])
@@ -285,7 +285,10 @@
     def connection_lost(self, exc):
         """Fail the running exchange, if any."""
         self.is_lost = True
-        self.fail('the connection was closed')
+        kind = errors.TargetAnswerLost
+        if not self._has_bytes:
+            kind = errors.TargetClosedUnanswered
+        self.fail('the connection was closed', kind)
 
     def on_message_begin(self):
         """Begin an answer; one after a complete answer prevents reuse."""
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 
 from sesamejunction.commands import ports as porting
+from sesamejunction.decisions import concurrencylimit
 from sesamejunction import errors
 from sesamejunction.model import gating
 from sesamejunction.model import leasing
@@ -147,25 +149,28 @@
     """Acquire a permit, send the request and release the permit."""
     report = SendReport()
     try:
-        refusal = await _acquire_permit(ports, head)
+        permit = await _acquire_permit(ports, head)
+        refusal = permit if isinstance(permit, requests.Refusal) else None
         if refusal is None:
             # The key may have been released while the request was queued.
             refusal = find_key_refusal(ports, head)
         if refusal is not None:
             return dataclasses.replace(refusal, load=ports.scheduler.load)
         with ports.open_runs.include(head):
+            report.expected_s = permit.expected_run_s
             return await _send(ports, head, body, report)
     finally:
         ports.scheduler.tell_reliably(
             gating.WorkFinished(
                 *(head.request_id, report.taken_s, report.shed),
-                report.slowness,
+                *(report.slowness, report.is_dropped),
+                _find_occupied_until(ports, head, report),
             )
         )
 
 
-async def _acquire_permit(ports, head) -> requests.Refusal | None:
-    """Wait for a permit of the target; returns a refusal or None."""
+async def _acquire_permit(ports, head) -> gating.Admitted | requests.Refusal:
+    """Wait for a permit of the target."""
     # The scheduler starts no request that has less time left than this.
     least_s = ports.scheduler.estimate_min_time(head.route)
     started = ports.clock()
@@ -186,7 +191,7 @@
     except (errors.InboxFull, errors.TaskStopped) as error:
         return refuse(requests.Code.OVERLOADED, str(error), retry_after_s=1.0)
     ports.metrics.observe('queue_seconds', ports.clock() - started)
-    return reply if isinstance(reply, requests.Refusal) else None
+    return reply
 
 
 @dataclasses.dataclass(slots=True)
@@ -194,12 +199,29 @@
     """What is reported when a request's permit is released.
 
     ``taken_s`` is None without an answer. ``shed`` is set if the target
-    itself refused the request. ``slowness`` as in requests.TargetReport.
+    itself refused the request. ``slowness`` as in requests.TargetReport,
+    ``is_dropped`` as in gating.WorkFinished. ``started`` is the boot-clock
+    time of sending, None before it, and ``has_ended`` is set once the target
+    has replied, closed the connection or could not be reached.
     """
 
     taken_s: float | None = None
     shed: bool = False
     slowness: float | None = None
+    is_dropped: bool = False
+    expected_s: float = math.inf
+    started: float | None = None
+    has_ended: bool = False
+
+
+def _find_occupied_until(ports, head, report) -> float:
+    """Return until when the target may run a request that was given up."""
+    if report.started is None or report.has_ended:
+        return 0.0
+    return concurrencylimit.find_occupied_until(
+        *(report.expected_s, report.started, ports.clock()),
+        *(head.deadline, report.is_dropped),
+    )
 
 
 async def _send(ports, head, body, report):
@@ -208,17 +230,28 @@
     If no answer arrives after the request may have been sent, the outcome
     in the refusal is UNKNOWN.
     """
-    started = ports.clock()
+    started = report.started = ports.clock()
+    give_up = concurrencylimit.find_give_up_time(
+        report.expected_s, started, head.deadline, head.repeatable
+    )
     try:
-        async with asyncio.timeout(max(0.0, head.deadline - started)):
+        async with asyncio.timeout(max(0.0, give_up - started)):
             reply = await ports.target.send(head, body)
     except errors.PeerConnectionLost as error:
+        report.has_ended = True
+        report.is_dropped = isinstance(error, errors.TargetClosedUnanswered)
         _count_miss(ports)
         return _refuse_as_lost(ports, head, str(error))
     except TimeoutError:
+        waited_s = ports.clock() - started
+        late_s = concurrencylimit.find_late_s(report.expected_s)
+        report.is_dropped = waited_s >= late_s
         _count_miss(ports)
-        return _refuse_as_lost(ports, head, 'no answer within the deadline')
+        return _refuse_as_lost(
+            ports, head, f'no answer within {waited_s:.2f} s'
+        )
     except errors.PeerUnavailable as error:
+        report.has_ended = True
         if isinstance(error, errors.TargetConnectionRefused):
             ports.lease.tell(leasing.TargetUnreachable())
         ports.scheduler.tell(leasing.TargetUnreachable())
@@ -228,6 +261,7 @@
             retry_after_s=RETRY_AFTER_S,
         )
     ports.misses = 0
+    report.has_ended = True
     if reply.report is not None:
         report.slowness = reply.report.slowness
     if isinstance(reply, requests.Refusal):
@@ -242,6 +276,8 @@
         return dataclasses.replace(reply, load=ports.scheduler.load)
     report.taken_s = ports.clock() - started
     ports.metrics.observe('target_seconds', report.taken_s)
+    beyond_s = max(0.0, report.taken_s - report.expected_s)
+    ports.metrics.observe('beyond_expected_seconds', beyond_s)
     return dataclasses.replace(reply, load=ports.scheduler.load)
 
 
--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -131,12 +131,12 @@
     def estimate_work(self, running, queued: int) -> float:
         """Return the seconds of work that are left at the target.
 
-        ``running`` holds a PendingRequest and its start for each request
+        ``running`` begins with a PendingRequest and its start for each request
         under way; ``queued`` requests count with the average time.
         """
         now, slowness = self._clock(), self.slowness
         work_s = queued * self._mean * slowness
-        for pending_request, started in running:
+        for pending_request, started, _ in running:
             run_s = slowness * self._times.get(
                 pending_request.route, self._mean
             )
--- a/sesamejunction/errors.py
+++ b/sesamejunction/errors.py
@@ -110,5 +110,12 @@
     """
 
 
+class TargetClosedUnanswered(TargetAnswerLost):
+    """The target closed the connection before any byte of an answer.
+
+    The request may have run.
+    """
+
+
 class TargetConnectionRefused(PeerUnavailable):
     """The target's port refuses connections, so its process has ended."""
--- a/sesamejunction/model/gating.py
+++ b/sesamejunction/model/gating.py
@@ -1,6 +1,7 @@
 """Messages of the gate and scheduler tasks, which admit work to the target."""
 
 import dataclasses
+import math
 
 from sesamejunction.model import requests
 
@@ -18,9 +19,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Admitted:
-    """A permit of the target, to be released with WorkFinished."""
+    """A permit of the target, to be released with WorkFinished.
+
+    ``expected_run_s`` is the expected run time at the target in seconds.
+    """
 
     load: requests.Load
+    expected_run_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,12 +68,17 @@
     ``latency_s`` is None if there was no answer. ``shed`` is set if the
     target itself refused the request. ``slowness`` is what the target
     reported with the answer or refusal, as in requests.TargetReport.
+    ``is_dropped`` is set if the target closed the connection before an answer
+    or gave none for much longer than expected. The target may run the request
+    until ``occupied_until``, in boot-clock seconds.
     """
 
     request_id: str
     latency_s: float | None = None
     shed: bool = False
     slowness: float | None = None
+    is_dropped: bool = False
+    occupied_until: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -1,10 +1,12 @@
 """Actor that schedules the requests for the target beside this node."""
 
 import asyncio
+import bisect
 import math
 
 from sesamejunction.border import logs
 from sesamejunction.commands import ports as porting
+from sesamejunction.decisions import concurrencylimit
 from sesamejunction.decisions import keyload
 from sesamejunction.decisions import scheduling
 from sesamejunction.model import choosing
@@ -70,6 +72,10 @@
         self._times = scheduling.ServiceTimes(clock)
         self._wait_factor = scheduling.WaitFactor()
         self._cold_window = scheduling.ColdWindow()
+        self._limit = concurrencylimit.ConcurrencyLimit()
+        # Boot-clock times until which the target may still run requests that
+        # were given up, ascending.
+        self._abandoned_ends = []
         self._suspect_until = float('-inf')
         self._stopping = False
         self._expected_bodies = 0
@@ -99,11 +105,13 @@
     def estimate_wait(self, route: str) -> choosing.ExpectedWait:
         """Return the expected wait of one more request of a route."""
         now = self._clock()
-        slots = self._find_limit()
+        slots = self.limit
         if slots < 1 or self._find_refusal(now) is not None:
             return choosing.ExpectedWait(math.inf, 0.0, slots)
         load = self.load
         work_s = load.work_s
+        # Requests that were given up hold places, but not for a known time.
+        slots = max(1, slots - self.abandoned_count)
         if work_s is None:
             work_s = (load.in_flight + load.queued) * load.latency_s
         wait_s = work_s / slots
@@ -127,6 +135,9 @@
             case gating.StopAdmitting():
                 self._stopping = True
             case leasing.TargetStatus():
+                if message.life != self._target_status.life:
+                    self._limit = concurrencylimit.ConcurrencyLimit()
+                    self._abandoned_ends = []
                 self._target_status = message
                 self._start_waiting()
             case leasing.TargetUnreachable():
@@ -228,14 +239,31 @@
             )
         return None
 
-    def _find_limit(self) -> int:
+    @property
+    def limit(self) -> int:
         """Return how many requests may be at the target at once."""
-        return self._target_status.slots
+        return self._limit.find(self._target_status.slots)
+
+    @property
+    def slowness(self) -> float:
+        """Return how many times slower than usual the target is now."""
+        return self._times.slowness
+
+    @property
+    def abandoned_count(self) -> int:
+        """Return how many given-up requests the target may still run."""
+        ends, now = self._abandoned_ends, self._clock()
+        while ends and ends[0] <= now:
+            ends.pop(0)
+        return len(ends)
 
     def _find_start_delay(self, now) -> float:
         """Return the seconds until a request may start, inf if full."""
-        if len(self._running) >= self._find_limit():
+        room = self.limit - len(self._running)
+        if room <= 0:
             return float('inf')
+        if self._abandoned_ends and self.abandoned_count >= room:
+            return self._abandoned_ends[-room] - now
         limit = self._find_cold_rate(now)
         return self._cold_window.find_send_delay(limit, now) if limit else 0.0
 
@@ -332,10 +360,13 @@
             )
 
     def _start(self, pending_request, now) -> gating.Admitted:
-        self._running[pending_request.request_id] = pending_request, now
+        count = len(self._running) + self.abandoned_count + 1
+        self._running[pending_request.request_id] = pending_request, now, count
         self._cold_window.add(now)
         self._cold_window.count(now)
-        return gating.Admitted(self.load)
+        return gating.Admitted(
+            self.load, self._times.expect(pending_request.route)
+        )
 
     def _start_waiting(self) -> None:
         now = self._clock()
@@ -383,6 +414,8 @@
             if self._clock() + min_time_s >= waiting.deadline:
                 self._wait_factor.count_expiry()
         started_request = self._running.pop(finished.request_id, None)
+        if started_request is not None:
+            self._learn_limit(finished, started_request[2])
         slowness = finished.slowness
         if slowness is not None:
             self._times.report_slowness(slowness)
@@ -399,6 +432,30 @@
             )
         self._start_waiting()
 
+    def _learn_limit(self, finished, count) -> None:
+        """Adapt the limit to how a request ended.
+
+        ``count`` is the number of requests that were at the target after it
+        was sent.
+        """
+        now, slots = self._clock(), self._target_status.slots
+        if finished.occupied_until > now:
+            bisect.insort(self._abandoned_ends, finished.occupied_until)
+        if finished.latency_s is not None:
+            self._limit.count_answer(slots)
+            return
+        if not (finished.shed or finished.is_dropped):
+            return
+        if self._limit.lower(count, slots, finished.shed, now):
+            self._logger.log_message(
+                'gate: limit lowered',
+                request=finished.request_id,
+                limit=round(self._limit.value, 2),
+                at_target=count,
+                slots=slots,
+                refused=finished.shed,
+            )
+
 
 class StartWaiting:
     """Sent by a timer when a cold target may take another request."""
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -466,6 +466,9 @@
         gauges = {
             'target_running': load.in_flight,
             'target_waiting': load.queued,
+            'target_limit': self._scheduler.limit,
+            'target_abandoned': self._scheduler.abandoned_count,
+            'target_slowness': self._scheduler.slowness,
             'members_silent': len(self._presence_view.silent),
             'declared_version': self._states.current.declared_version,
             'declared_age_seconds': now - self._declared.view.as_of,
