Refuse as not run what waits at its deadline

Requests that had reached no target ended as lost, so that callers could not try again what may run only once.

Each has a test that failed before (test_notrun).

--- a/sesamejunction/border/targetconnections.py
+++ b/sesamejunction/border/targetconnections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import select
 
 import httptools
@@ -369,17 +370,22 @@
         self.close_idle()
 
     async def acquire(
-        self, fresh: bool, attempt: str | None = None
+        self,
+        fresh: bool,
+        attempt: str | None = None,
+        connect_by_s: float = math.inf,
     ) -> Connection:
         """Return a connection; raises PeerUnavailable without one.
 
         With ``fresh``, an idle connection is only used if it was in use within
         RECENT_USE_S, so that the target has probably not dropped it.
-        ``attempt`` was not refused on the connection before. The request must
+        ``attempt`` was not refused on the connection before. A new connection
+        is waited for at most for ``connect_by_s``. The request must
         be sent before control returns to the event loop, since the check for
         unread bytes holds no longer than that.
         """
-        return self._acquire_idle(fresh, attempt) or await self._connect()
+        idle = self._acquire_idle(fresh, attempt)
+        return idle or await self._connect(connect_by_s)
 
     def _acquire_idle(self, fresh, attempt) -> Connection | None:
         now = asyncio.get_running_loop().time()
@@ -399,10 +405,11 @@
                 return self._idle.pop(index)
         return None
 
-    async def _connect(self) -> Connection:
+    async def _connect(self, connect_by_s) -> Connection:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self._connect_s):
+            limit_s = max(0.0, min(self._connect_s, connect_by_s))
+            async with asyncio.timeout(limit_s):
                 _, new_connection = await loop.create_connection(
                     lambda: Connection(self._budget), *self._address
                 )
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -179,21 +179,31 @@
         async with asyncio.timeout(max(0.0, left_s)):
             reply = await ports.scheduler.ask(gating.Admit(head))
     except TimeoutError:
-        return refuse(
-            requests.Code.DEADLINE,
-            'too little time was left after the wait for a place',
-            retry_after_s=RETRY_AFTER_S,
-            inputs=(
-                ('waited_s', round(ports.clock() - started, 3)),
-                ('least_s', round(least_s, 3)),
-            ),
-        )
+        return _refuse_too_late(ports, started, least_s)
+    except asyncio.CancelledError as error:
+        raise errors.CancelledBeforeStart from error
     except (errors.InboxFull, errors.TaskStopped) as error:
         return refuse(requests.Code.OVERLOADED, str(error), retry_after_s=1.0)
-    ports.metrics.observe('queue_seconds', ports.clock() - started)
+    now = ports.clock()
+    ports.metrics.observe('queue_seconds', now - started)
+    if isinstance(reply, gating.Admitted) and now + least_s > head.deadline:
+        # It would end without an answer, and then it might have run.
+        return _refuse_too_late(ports, started, least_s)
     return reply
 
 
+def _refuse_too_late(ports, started, least_s) -> requests.Refusal:
+    return refuse(
+        requests.Code.DEADLINE,
+        'too little time was left after the wait for a place',
+        retry_after_s=RETRY_AFTER_S,
+        inputs=(
+            ('waited_s', round(ports.clock() - started, 3)),
+            ('least_s', round(least_s, 3)),
+        ),
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class SendReport:
     """What is reported when a request's permit is released.
--- a/sesamejunction/errors.py
+++ b/sesamejunction/errors.py
@@ -1,5 +1,11 @@
 """Exception hierarchy; each message says what the user can do."""
 
+import asyncio
+
+
+class CancelledBeforeStart(asyncio.CancelledError):
+    """A request was cancelled while it waited for a place; nothing ran."""
+
 
 class SesameError(Exception):
     """Base class of errors that are shown to users as one line."""
--- a/sesamejunction/platform/serverclient.py
+++ b/sesamejunction/platform/serverclient.py
@@ -24,6 +24,9 @@
 # slower than usual.
 SLOWNESS_RANGE = range(10, 10_001)
 RETRY_AFTER_S = 0.1
+# A request that gets its connection this shortly before the deadline could
+# not be answered in time.
+CONNECT_MARGIN_S = 0.005
 SUCCESSES = range(200, 300)
 
 
@@ -56,8 +59,11 @@
         when the answer is missing or unusable.
         """
         attempt = find_header(head.headers, REQUEST_ID)
+        # Until the connection is made nothing is sent, so the wait for it
+        # ends before the deadline does.
+        connect_by_s = head.deadline - self._clock() - CONNECT_MARGIN_S
         connection = await self._connections.acquire(
-            not head.repeatable, attempt
+            not head.repeatable, attempt, connect_by_s
         )
         left_ms = max(1, int((head.deadline - self._clock()) * 1000))
         data = encode_request(head, body, left_ms, self._find_target())
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -20,6 +20,11 @@
 from sesamejunction.tasks import link as linkage
 from sesamejunction.tasks import outgoingbody
 
+# A request without a reply is cancelled at the other node this long before its
+# deadline, so that a refusal arrives in time if it still waits there. The
+# other node's own deadline is earlier (linkcodec.REPLY_MARGIN_S), so no answer
+# is lost.
+CANCEL_LEAD_S = 0.02
 # Longest wait of a request for a connection. After that the request fails as
 # not run, and may be sent to another member.
 CONNECT_WAIT_S = 0.5
@@ -58,12 +63,11 @@
     left_s = exchange.head.deadline - clock.read_boot_clock()
     # asyncio.timeout would take 6 us more for each request.
     timer = asyncio.get_running_loop().call_later(
-        max(0.0, left_s), expire_reply, exchange.reply
+        max(0.0, left_s - CANCEL_LEAD_S), cancel_late, exchange
     )
     try:
         return await exchange.reply
     except TimeoutError as error:
-        link.send_frame(linking.Cancel(number))
         raise errors.PeerConnectionLost(
             'no answer within the deadline; it may have run'
         ) from error
@@ -95,6 +99,17 @@
             raise TimeoutError
 
 
+def cancel_late(exchange: Exchange) -> None:
+    """Cancel a request and wait until its deadline for a last reply."""
+    if exchange.reply.done():
+        return
+    exchange.link.send_frame(linking.Cancel(exchange.number))
+    left_s = exchange.head.deadline - clock.read_boot_clock()
+    asyncio.get_running_loop().call_later(
+        max(0.0, left_s), expire_reply, exchange.reply
+    )
+
+
 def expire_reply(reply: asyncio.Future) -> None:
     """Fail a reply with TimeoutError."""
     if not reply.done():
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -143,9 +143,26 @@
 
     async def _run_work(self, frame) -> None:
         head = linkcodec.decode_work(frame, clock.read_boot_clock())
-        reply = await self._ports.host_request(head, frame.body)
+        try:
+            reply = await self._ports.host_request(head, frame.body)
+        except errors.CancelledBeforeStart:
+            self._refuse_cancelled(frame.id)
+            raise
         self.send_frame(await linkcodec.encode_reply(frame.id, reply))
 
+    def _refuse_cancelled(self, number) -> None:
+        """Tell that a cancelled request has not run.
+
+        The requester may still wait for a reply, until its deadline.
+        """
+        self.send_frame(
+            refuse_work(
+                number,
+                requests.Code.DEADLINE,
+                'the request waited until its deadline',
+            )
+        )
+
     def _handle_offer(self, frame) -> None:
         if not 0 < frame.size <= framing.MAX_FRAME_BYTES:
             self.transport.abort()
@@ -170,7 +187,11 @@
         if isinstance(reply, incomingbodies.CompleteBody):
             task, _ = self._running[frame.id]
             self._running[frame.id] = task, frame.repeatable
-            reply = await self._ports.host_request(head, reply.data)
+            try:
+                reply = await self._ports.host_request(head, reply.data)
+            except errors.CancelledBeforeStart:
+                self._refuse_cancelled(frame.id)
+                raise
         self.send_frame(await linkcodec.encode_reply(frame.id, reply))
 
     async def _handle_part(self, frame) -> None:
--- a/test/test_fulltargets.py
+++ b/test/test_fulltargets.py
@@ -107,7 +107,7 @@
         await asyncio.gather(*target.serving)
 
 
-async def send_in_turn(ports, number, repeatable, left_s=6.0):
+async def send_in_turn(ports, number, repeatable, left_s=1.5):
     """Send ``ROUNDS`` requests, each after the former one."""
     outcomes = collections.Counter()
     for turn in range(ROUNDS):
