Count capacity for keys by the speed over seconds

The planner took slots / present mean, which would follow each slow spell of 0.4 s now that the mean is scaled by the reported slowness. The average of the slowness has a half-life of 8 s. Tests of the touched modules pass.

--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 import typing
 
 from sesamejunction.decisions import fairness
@@ -29,6 +30,10 @@
 # A reported slowness is forgotten after this time without news. Machines are
 # slow for about 0.4 s, and a target with work answers many times in it.
 SLOWNESS_MAX_AGE_S = 0.5
+# Half-life of the average slowness that counts for the capacity. Moving keys
+# interrupts their service and costs about as much time as one slow spell, so
+# the average has to be longer than many spells.
+SLOWNESS_HALF_LIFE_S = 8.0
 # A running request counts with at least this fraction of its expected time:
 # one that takes longer than expected is not finished.
 MIN_REMAINING_FRACTION = 0.25
@@ -57,13 +62,24 @@
 
     def __init__(self):
         self._value = 1.0
+        self._average = 1.0
         self.reported_at = float('-inf')
 
     def report(self, value: float, now: float) -> None:
         """Store a report that has just arrived."""
+        self._average = self.find_average(now)
         self._value = value
         self.reported_at = now
 
+    def find_average(self, now: float) -> float:
+        """Return the average over some seconds; no news counts as 1."""
+        if not self.is_known:
+            return 1.0
+        passed_s = max(0.0, now - self.reported_at)
+        known_s = min(passed_s, SLOWNESS_MAX_AGE_S)
+        average = _approach(self._average, self._value, known_s)
+        return _approach(average, 1.0, passed_s - known_s)
+
     @property
     def is_known(self) -> bool:
         """Return whether the target has ever reported its slowness."""
@@ -76,6 +92,12 @@
         return self._value
 
 
+def _approach(average: float, value: float, held_s: float) -> float:
+    """Return the average after ``value`` has held for a time."""
+    weight = 1.0 - math.exp2(-held_s / SLOWNESS_HALF_LIFE_S)
+    return average + (value - average) * weight
+
+
 class ServiceTimes:
     """Moving average of the service time, by route and overall.
 
@@ -116,6 +138,14 @@
         """Return the average over all routes, as expected now."""
         return self._mean * self.slowness
 
+    @property
+    def lasting_mean(self) -> float:
+        """Return the average over all routes and over some seconds.
+
+        Unlike ``mean`` it does not follow short slow spells.
+        """
+        return self._mean * self._slowness.find_average(self._clock())
+
     @property
     def slowness(self) -> float:
         """Return how many times slower than usual the target is now."""
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -158,7 +158,7 @@
         return leasing.KeyLoadReport(
             self._keys.list_segments(self._holdings.rows, self._clock()),
             keyload.estimate_capacity(
-                self._target_status.slots, self._times.mean
+                self._target_status.slots, self._times.lasting_mean
             ),
         )
 
--- a/test/test_targetspeed.py
+++ b/test/test_targetspeed.py
@@ -6,9 +6,12 @@
 from sesamejunction.border import linkcodec
 from sesamejunction.commands import ports as porting
 from sesamejunction.commands import wholebodies
+from sesamejunction.decisions import keyload
+from sesamejunction.decisions import rangeplanning
 from sesamejunction.decisions import scheduling
 from sesamejunction.model import gating
 from sesamejunction.model import linking
+from sesamejunction.model import ranges
 from sesamejunction.model import requests
 from sesamejunction.platform import serverclient
 from test import rawservers
@@ -120,3 +123,42 @@
     assert len(frame.load) == 4
     older = msgspec.convert(msgspec.msgpack.decode(data)[:-1], TYPES)
     assert linkcodec.decode_reply(older).load.work_s is None
+
+
+def report_for(times, clock, seconds, find_slowness):
+    """Let a target answer every 20 ms for some seconds."""
+    ends = clock.now + seconds
+    while clock.now < ends:
+        clock.now += 0.02
+        slowness = find_slowness(clock.now)
+        times.report_slowness(slowness)
+        times.record('order', 0.1 * slowness, slowness)
+
+
+# Guards against keys that move with each slow spell of 0.4 s, and against hot
+# keys that stay at a target that is slow for longer. Columns: slowness at a
+# time, and whether the keys of two equal targets move if one has it.
+LASTING = {
+    'usual': (lambda now: 1.0, False),
+    'a spell': (lambda now: 3.0 if now > 1029.6 else 1.0, False),
+    'slow': (lambda now: 3.0, True),
+    'recovered': (lambda now: 3.0 if now < 1005.0 else 1.0, False),
+}
+
+
+@pytest.mark.parametrize('case', LASTING)
+def test_keys_move_to_the_faster_target(case):
+    find_slowness, moves = LASTING[case]
+    owners = []
+    for number, pattern in enumerate((find_slowness, lambda now: 1.0)):
+        clock = scheduling_tests.Clock()
+        times = scheduling.ServiceTimes(clock)
+        report_for(times, clock, 30.0, pattern)
+        capacity = keyload.estimate_capacity(5, times.lasting_mean)
+        first = number * 100
+        segments = [(first + one, first + one, 2.5) for one in range(10)]
+        life = ranges.Life(f'n{number}', 'target', 1)
+        owners.append(rangeplanning.OwnerLoad(life, capacity, segments))
+    found = rangeplanning.choose_moves(owners)
+    assert bool(found) is moves
+    assert {move.life.member for move in found} <= {'n1'}
