--- a/standins/keyserver.py
+++ b/standins/keyserver.py
@@ -34,6 +34,8 @@
         # Share of the requests that run and get no answer.
         self.lost_share = 0.0
         self.response_body = b'whole'
+        # Value of the load header, None to send none.
+        self.load = None
         # Requests whose connection was closed while they were running.
         self.aborted_requests = 0
         self.holds = []
@@ -75,6 +77,8 @@
         if request.transport is not None and random.random() < self.lost_share:
             request.transport.abort()
         headers['X-Response-Signature'] = 'signed'
+        if self.load is not None:
+            headers['X-Server-Load'] = self.load
         return web.Response(body=self.response_body, headers=headers)
 
     def is_held(self, key: int) -> bool:
