--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -127,6 +127,14 @@
             'declarations_unreadable_total',
             'Parts of configurations that could not be read, by part',
         )
+        self.choices = self._add_counts(
+            'target_choices_total',
+            'Targets chosen by expected finish, by what was known of them',
+        )
+        self.loads_unreadable = self._add_counts(
+            'target_loads_unreadable_total',
+            'Load headers of the target that could not be read',
+        )
         self.key_rows_granted = self._add_counts(
             'key_rows_granted_total',
             'Key ranges granted to the target after a change',
@@ -141,6 +149,7 @@
                 ('request_seconds', 'Time to the reply, by outcome'),
                 ('queue_seconds', 'Wait for a place at the target'),
                 ('target_seconds', 'Time at the target'),
+                ('beyond_expected_seconds', 'Time there beyond expectation'),
                 ('hop_seconds', 'Time of requests sent to another node'),
                 ('connect_seconds', 'Time to connect to a node, by outcome'),
                 ('body_seconds', 'Time until a large body came, by outcome'),
@@ -153,6 +162,9 @@
             for name, help_text in (
                 ('target_running', 'Requests at the target'),
                 ('target_waiting', 'Requests waiting for the target'),
+                ('target_limit', 'Requests that the target may get at once'),
+                ('target_abandoned', 'Abandoned requests that may run there'),
+                ('target_slowness', 'Times slower than usual, as reported'),
                 ('members_silent', 'Members not heard of lately'),
                 ('declared_version', 'Version of the declarations'),
                 ('declared_age_seconds', 'Age of the declarations copy'),
--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -6,6 +6,7 @@
 
 from sesamejunction.commands import wholebodies
 from sesamejunction import errors
+from sesamejunction.model import choosing
 from sesamejunction.model import leasing
 from sesamejunction.model import linking
 from sesamejunction.model import registry
@@ -103,11 +104,13 @@
         load.limit,
         load.latency_s,
     )
+    work_s = load and load.work_s
     match reply:
         case requests.Answer():
             body = await wholebodies.read_answer(reply)
             return linking.WorkAnswer(
-                number, reply.status, reply.headers, body, load_fields
+                *(number, reply.status, reply.headers, body),
+                *(load_fields, work_s),
             )
         case requests.Refusal():
             return linking.WorkRefused(
@@ -119,6 +122,7 @@
                 load_fields,
                 reply.inputs,
                 reply.reached_target,
+                work_s,
             )
 
 
@@ -135,7 +139,7 @@
                 frame.status,
                 frame.headers,
                 frame.body,
-                frame.load and requests.Load(*frame.load),
+                frame.load and requests.Load(*frame.load, frame.work_s),
             )
         case linking.WorkRefused() if frame.outcome in OUTCOMES:
             return requests.Refusal(
@@ -143,7 +147,7 @@
                 OUTCOMES[frame.outcome],
                 frame.message,
                 frame.retry_after_s,
-                load=frame.load and requests.Load(*frame.load),
+                load=frame.load and requests.Load(*frame.load, frame.work_s),
                 inputs=frame.inputs,
                 reached_target=frame.reached_target,
             )
@@ -164,6 +168,8 @@
             return linking.LoadQuestion(number)
         case registry.AskNews(topic=topic, end=end, wait_s=wait_s):
             return linking.NewsQuestion(number, topic, end, int(wait_s * 1e3))
+        case choosing.AskExpectedWait(service=service, route=route):
+            return linking.WaitQuestion(number, service, route)
 
 
 def decode_question_reply(frame):
@@ -173,6 +179,10 @@
             return frame
         case linking.NewsReply():
             return decode_news(frame)
+        case linking.WaitReply():
+            return choosing.ExpectedWait(
+                frame.wait_s, frame.run_s, frame.slots
+            )
         case _:
             return frame.body
 
--- a/sesamejunction/border/targetconnections.py
+++ b/sesamejunction/border/targetconnections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 import select
 
 import httptools
@@ -137,6 +138,7 @@
         self._accepts = None
         self._reusable = True
         self._has_head = False
+        self._has_bytes = False
         self.is_lost = False
 
     def connection_made(self, transport):
@@ -189,7 +191,7 @@
         self._waiter = asyncio.get_running_loop().create_future()
         self._accepts = accepts
         self._parser = httptools.HttpResponseParser(self)
-        self._has_head = False
+        self._has_head = self._has_bytes = False
         self._complete_answer = None
         self.size = self._framing_bytes = self._interim_count = (
             self._other_count
@@ -215,13 +217,11 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def fail(self, reason: str) -> None:
+    def fail(self, reason: str, kind=errors.TargetAnswerLost) -> None:
         """Fail the current exchange and close the connection."""
         self._reusable = False
         if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_exception(
-                errors.TargetAnswerLost(f'{reason} in place of an answer')
-            )
+            self._waiter.set_exception(kind(f'{reason} in place of an answer'))
             # Release the received bytes now, not when the request ends.
             self._answer = None
             self._budget.remove_connection(self)
@@ -236,6 +236,7 @@
         if self._waiter is None or self._waiter.done():
             self.abort()
             return
+        self._has_bytes = True
         size_before = self.size
         try:
             self._parser.feed_data(self._budget.read_buffer[:nbytes])
@@ -285,7 +286,10 @@
     def connection_lost(self, exc):
         """Fail the running exchange, if any."""
         self.is_lost = True
-        self.fail('the connection was closed')
+        kind = errors.TargetAnswerLost
+        if not self._has_bytes:
+            kind = errors.TargetClosedUnanswered
+        self.fail('the connection was closed', kind)
 
     def on_message_begin(self):
         """Begin an answer; one after a complete answer prevents reuse."""
@@ -366,17 +370,22 @@
         self.close_idle()
 
     async def acquire(
-        self, fresh: bool, attempt: str | None = None
+        self,
+        fresh: bool,
+        attempt: str | None = None,
+        connect_by_s: float = math.inf,
     ) -> Connection:
         """Return a connection; raises PeerUnavailable without one.
 
         With ``fresh``, an idle connection is only used if it was in use within
         RECENT_USE_S, so that the target has probably not dropped it.
-        ``attempt`` was not refused on the connection before. The request must
+        ``attempt`` was not refused on the connection before. A new connection
+        is waited for at most for ``connect_by_s``. The request must
         be sent before control returns to the event loop, since the check for
         unread bytes holds no longer than that.
         """
-        return self._acquire_idle(fresh, attempt) or await self._connect()
+        idle = self._acquire_idle(fresh, attempt)
+        return idle or await self._connect(connect_by_s)
 
     def _acquire_idle(self, fresh, attempt) -> Connection | None:
         now = asyncio.get_running_loop().time()
@@ -396,10 +405,11 @@
                 return self._idle.pop(index)
         return None
 
-    async def _connect(self) -> Connection:
+    async def _connect(self, connect_by_s) -> Connection:
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(self._connect_s):
+            limit_s = max(0.0, min(self._connect_s, connect_by_s))
+            async with asyncio.timeout(limit_s):
                 _, new_connection = await loop.create_connection(
                     lambda: Connection(self._budget), *self._address
                 )
--- a/sesamejunction/errors.py
+++ b/sesamejunction/errors.py
@@ -1,5 +1,11 @@
 """Exception hierarchy; each message says what the user can do."""
 
+import asyncio
+
+
+class CancelledBeforeStart(asyncio.CancelledError):
+    """A request was cancelled while it waited for a place; nothing ran."""
+
 
 class SesameError(Exception):
     """Base class of errors that are shown to users as one line."""
@@ -110,5 +116,12 @@
     """
 
 
+class TargetClosedUnanswered(TargetAnswerLost):
+    """The target closed the connection before any byte of an answer.
+
+    The request may have run.
+    """
+
+
 class TargetConnectionRefused(PeerUnavailable):
     """The target's port refuses connections, so its process has ended."""
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -62,13 +62,15 @@
 class WorkAnswer(Frame, tag=3):
     """The target's complete answer.
 
-    ``load`` has the fields of requests.Load in their order.
+    ``load`` has the first four fields of requests.Load in their order, as
+    earlier versions read exactly these; ``work_s`` is the fifth.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
     load: tuple[int, int, int, float] | None
+    work_s: float | None = None
 
 
 class WorkRefused(Frame, tag=4):
@@ -85,6 +87,7 @@
     load: tuple[int, int, int, float] | None
     inputs: tuple[tuple[str, float], ...] = ()
     reached_target: bool = False
+    work_s: float | None = None
 
 
 class Cancel(Frame, tag=5):
@@ -198,6 +201,25 @@
     as_of_s: float
 
 
+class WaitQuestion(Frame, tag=20):
+    """Requests the expected wait of one more request, as AskExpectedWait.
+
+    It is sent only to nodes that have reported ``work_s``: a node of an
+    earlier version, which does not know the tag, ends the connection.
+    """
+
+    service: str
+    route: str
+
+
+class WaitReply(Frame, tag=21):
+    """Answers WaitQuestion; fields as in choosing.ExpectedWait."""
+
+    wait_s: float
+    run_s: float
+    slots: int
+
+
 FRAMES = (
     Hello
     | Work
@@ -218,6 +240,8 @@
     | BodyPart
     | NewsQuestion
     | NewsReply
+    | WaitQuestion
+    | WaitReply
 )
 REPLIES = (
     WorkAnswer,
@@ -226,5 +250,6 @@
     CopyReply,
     LoadReply,
     NewsReply,
+    WaitReply,
     Pong,
 )
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -20,6 +20,11 @@
 from sesamejunction.tasks import link as linkage
 from sesamejunction.tasks import outgoingbody
 
+# A request without a reply is cancelled at the other node this long before its
+# deadline, so that a refusal arrives in time if it still waits there. The
+# other node's own deadline is earlier (linkcodec.REPLY_MARGIN_S), so no answer
+# is lost.
+CANCEL_LEAD_S = 0.02
 # Longest wait of a request for a connection. After that the request fails as
 # not run, and may be sent to another member.
 CONNECT_WAIT_S = 0.5
@@ -58,12 +63,11 @@
     left_s = exchange.head.deadline - clock.read_boot_clock()
     # asyncio.timeout would take 6 us more for each request.
     timer = asyncio.get_running_loop().call_later(
-        max(0.0, left_s), expire_reply, exchange.reply
+        max(0.0, left_s - CANCEL_LEAD_S), cancel_late, exchange
     )
     try:
         return await exchange.reply
     except TimeoutError as error:
-        link.send_frame(linking.Cancel(number))
         raise errors.PeerConnectionLost(
             'no answer within the deadline; it may have run'
         ) from error
@@ -95,6 +99,17 @@
             raise TimeoutError
 
 
+def cancel_late(exchange: Exchange) -> None:
+    """Cancel a request and wait until its deadline for a last reply."""
+    if exchange.reply.done():
+        return
+    exchange.link.send_frame(linking.Cancel(exchange.number))
+    left_s = exchange.head.deadline - clock.read_boot_clock()
+    asyncio.get_running_loop().call_later(
+        max(0.0, left_s), expire_reply, exchange.reply
+    )
+
+
 def expire_reply(reply: asyncio.Future) -> None:
     """Fail a reply with TimeoutError."""
     if not reply.done():
@@ -244,11 +259,23 @@
             link.end_exchange(number)
         return linkcodec.decode_question_reply(frame)
 
-    async def _connect(self, member, is_bulk, left_s) -> linkage.Link:
-        key = member.incarnation, is_bulk
+    def start_question(self, member, message):
+        """Send a question on an open connection for small frames.
+
+        Returns the connection, the id of the exchange and the future of the
+        reply frame. Without a connection it returns None and begins to open
+        one for later questions. The caller ends the exchange.
+        """
+        key = member.incarnation, False
         link = self._links.get(key)
-        if link is not None and link.is_usable:
-            return link
+        if link is None or not link.is_usable:
+            self._start_connecting(member, key)
+            return None
+        number, future = link.start_exchange()
+        link.send_frame(linkcodec.encode_question(number, message))
+        return link, number, future
+
+    def _start_connecting(self, member, key) -> asyncio.Task:
         attempt = self._connecting.get(key)
         if attempt is None:
             attempt = asyncio.ensure_future(self._open(member, key))
@@ -256,6 +283,14 @@
             attempt.add_done_callback(
                 lambda done: self._note_connected(key, done)
             )
+        return attempt
+
+    async def _connect(self, member, is_bulk, left_s) -> linkage.Link:
+        key = member.incarnation, is_bulk
+        link = self._links.get(key)
+        if link is not None and link.is_usable:
+            return link
+        attempt = self._start_connecting(member, key)
         try:
             async with asyncio.timeout(max(0.0, min(CONNECT_WAIT_S, left_s))):
                 link = await asyncio.shield(attempt)
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -1,14 +1,18 @@
 """Actor that schedules the requests for the target beside this node."""
 
 import asyncio
+import bisect
 import collections
 import dataclasses
+import math
 
 from sesamejunction.border import logs
 from sesamejunction.commands import ports as porting
+from sesamejunction.decisions import concurrencylimit
 from sesamejunction.decisions import keyload
 from sesamejunction.decisions import scheduling
 from sesamejunction.decisions import workorder
+from sesamejunction.model import choosing
 from sesamejunction.model import gating
 from sesamejunction.model import journaling
 from sesamejunction.model import leasing
@@ -68,11 +72,15 @@
         self._state = state.State()
         self._target_status = leasing.TargetStatus(None, 0, float('-inf'))
         self._running = {}
-        self._times = scheduling.ServiceTimes()
+        self._times = scheduling.ServiceTimes(clock)
         self._queue = workorder.WorkQueue(self._times)
         # By lane: later requests of a higher rank delay the lower ones only.
         self._wait_factors = collections.defaultdict(scheduling.WaitFactor)
         self._cold_window = scheduling.ColdWindow()
+        self._limit = concurrencylimit.ConcurrencyLimit()
+        # Boot-clock times until which the target may still run requests that
+        # were given up, ascending.
+        self._abandoned_ends = []
         self._suspect_until = float('-inf')
         self._stopping = False
         self._expected_bodies = 0
@@ -83,17 +91,41 @@
 
         Requests whose bodies have not arrived yet count as queued.
         """
+        queued = len(self._queue) + self._expected_bodies
+        work_s = None
+        if self._times.reports_speed:
+            work_s = self._times.estimate_work(self._running.values(), queued)
         return requests.Load(
             len(self._running),
-            len(self._queue) + self._expected_bodies,
+            queued,
             self._target_status.slots,
             self._times.mean,
+            work_s,
         )
 
     def estimate_min_time(self, route: str) -> float:
         """Return the seconds that a request must have left to be started."""
         return self._times.expect(route) * scheduling.MIN_START_FRACTION
 
+    def estimate_wait(self, route: str) -> choosing.ExpectedWait:
+        """Return the expected wait of one more request of a route."""
+        now = self._clock()
+        slots = self.limit
+        if slots < 1 or self._find_refusal(now) is not None:
+            return choosing.ExpectedWait(math.inf, 0.0, slots)
+        load = self.load
+        work_s = load.work_s
+        # Requests that were given up hold places, but not for a known time.
+        slots = max(1, slots - self.abandoned_count)
+        if work_s is None:
+            work_s = (load.in_flight + load.queued) * load.latency_s
+        wait_s = work_s / slots
+        cold_rate = self._find_cold_rate(now)
+        if cold_rate:
+            delay_s = self._cold_window.find_send_delay(cold_rate, now)
+            wait_s = max(wait_s, delay_s + load.queued / cold_rate)
+        return choosing.ExpectedWait(wait_s, self._times.expect(route), slots)
+
     async def handle(self, message):
         """Handle one message."""
         match message:
@@ -108,6 +140,9 @@
             case gating.StopAdmitting():
                 self._stopping = True
             case leasing.TargetStatus():
+                if message.life != self._target_status.life:
+                    self._limit = concurrencylimit.ConcurrencyLimit()
+                    self._abandoned_ends = []
                 self._target_status = message
                 self._start_waiting()
             case leasing.TargetUnreachable():
@@ -138,7 +173,7 @@
         return leasing.KeyLoadReport(
             self._keys.list_segments(self._holdings.rows, self._clock()),
             keyload.estimate_capacity(
-                self._target_status.slots, self._times.mean
+                self._target_status.slots, self._times.lasting_mean
             ),
         )
 
@@ -223,10 +258,31 @@
             )
         return None
 
+    @property
+    def limit(self) -> int:
+        """Return how many requests may be at the target at once."""
+        return self._limit.find(self._target_status.slots)
+
+    @property
+    def slowness(self) -> float:
+        """Return how many times slower than usual the target is now."""
+        return self._times.slowness
+
+    @property
+    def abandoned_count(self) -> int:
+        """Return how many given-up requests the target may still run."""
+        ends, now = self._abandoned_ends, self._clock()
+        while ends and ends[0] <= now:
+            ends.pop(0)
+        return len(ends)
+
     def _find_start_delay(self, now) -> float:
         """Return the seconds until a request may start, inf if full."""
-        if len(self._running) >= self._target_status.slots:
+        room = self.limit - len(self._running)
+        if room <= 0:
             return float('inf')
+        if self._abandoned_ends and self.abandoned_count >= room:
+            return self._abandoned_ends[-room] - now
         limit = self._find_cold_rate(now)
         return self._cold_window.find_send_delay(limit, now) if limit else 0.0
 
@@ -242,7 +298,7 @@
         ahead = self._queue.measure_ahead(pending_request, now)
         factor = self._wait_factors[pending_request.lane].value
         wait_s = scheduling.estimate_wait(
-            ahead, self._target_status.slots, self._times.mean, factor
+            ahead, self.limit, self._times.mean, factor
         )
         cold = self._find_cold_rate(now)
         if cold:
@@ -254,7 +310,7 @@
             'ahead': ahead.count,
             'work_s': round(ahead.work_s, 3),
             'running': len(self._running),
-            'slots': self._target_status.slots,
+            'slots': self.limit,
             'cold': int(bool(cold)),
             'factor': round(factor, 2),
             'needed_s': round(needed, 3),
@@ -292,7 +348,7 @@
         now = self._clock()
         late = scheduling.list_late(
             self._queue.list_waiting(now),
-            self._target_status.slots,
+            self.limit,
             self._times,
             self._find_cold_rate(now),
             now,
@@ -311,7 +367,7 @@
             ahead = self._queue.measure_ahead(last, now)
             needed_s = scheduling.estimate_needed(
                 *(last, ahead.count, ahead.work_s),
-                *(self._target_status.slots, self._times, cold_rate),
+                *(self.limit, self._times, cold_rate),
             )
             if now + needed_s > last.deadline:
                 self._refuse_overdue(
@@ -327,7 +383,7 @@
         inputs = {
             'ahead': overdue.ahead,
             'running': len(self._running),
-            'slots': self._target_status.slots,
+            'slots': self.limit,
             'needed_s': round(overdue.needed_s, 3),
         }
         pending_request.reply.set_result(
@@ -339,10 +395,13 @@
         )
 
     def _start(self, pending_request, now) -> gating.Admitted:
-        self._running[pending_request.request_id] = pending_request, now
+        count = len(self._running) + self.abandoned_count + 1
+        self._running[pending_request.request_id] = pending_request, now, count
         self._cold_window.add(now)
         self._cold_window.count(now)
-        return gating.Admitted(self.load)
+        return gating.Admitted(
+            self.load, self._times.expect(pending_request.route)
+        )
 
     def _start_waiting(self) -> None:
         now = self._clock()
@@ -390,8 +449,15 @@
             if self._clock() + min_time_s >= waiting.deadline:
                 self._wait_factors[waiting.lane].count_expiry()
         started_request = self._running.pop(finished.request_id, None)
+        if started_request is not None:
+            self._learn_limit(finished, started_request[2])
+        slowness = finished.slowness
+        if slowness is not None:
+            self._times.report_slowness(slowness)
         if started_request is not None and finished.latency_s is not None:
-            self._times.record(started_request[0].route, finished.latency_s)
+            self._times.record(
+                started_request[0].route, finished.latency_s, slowness
+            )
         if finished.shed:
             self._logger.log_message(
                 'gate: target refused request',
@@ -401,6 +467,30 @@
             )
         self._start_waiting()
 
+    def _learn_limit(self, finished, count) -> None:
+        """Adapt the limit to how a request ended.
+
+        ``count`` is the number of requests that were at the target after it
+        was sent.
+        """
+        now, slots = self._clock(), self._target_status.slots
+        if finished.occupied_until > now:
+            bisect.insort(self._abandoned_ends, finished.occupied_until)
+        if finished.latency_s is not None:
+            self._limit.count_answer(slots)
+            return
+        if not (finished.shed or finished.is_dropped):
+            return
+        if self._limit.lower(count, slots, finished.shed, now):
+            self._logger.log_message(
+                'gate: limit lowered',
+                request=finished.request_id,
+                limit=round(self._limit.value, 2),
+                at_target=count,
+                slots=slots,
+                refused=finished.shed,
+            )
+
 
 class StartWaiting:
     """Sent by a timer when a cold target may take another request."""
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -51,6 +51,7 @@
 from sesamejunction.tasks import terms
 from sesamejunction.tasks import topicsources
 from sesamejunction.tasks import usage
+from sesamejunction.tasks import waitquestions
 from sesamejunction.ui import hostedqueries
 from sesamejunction.ui import loading
 
@@ -251,6 +252,10 @@
             node_settings.zone,
             count_retry=self._metrics.retries.inc,
             retry_limits=bounds.decode_retry_limits(node_settings.bounds),
+            waits=waitquestions.WaitQuestions(
+                *(self._links, self._scheduler, node_settings.target_service)
+            ),
+            count_choice=self._metrics.choices.inc,
         )
         self._planner = rangeplanner.RangePlanner(
             node_settings.name,
@@ -288,7 +293,9 @@
             self._lease,
             self._lease.holdings,
             serverclient.ServerClient(
-                self._connections, self._find_target, clock.read_boot_clock
+                *(self._connections, self._find_target),
+                clock.read_boot_clock,
+                lambda: self._metrics.loads_unreadable.inc({}),
             ),
             logs.ThrottledLogger(),
             self._metrics,
@@ -306,6 +313,7 @@
             self._terms,
             self._scheduler,
             (self._declared, self._fleet),
+            node_settings.target_service,
         )
         self._links.answer_locally = query_handler.answer_local
         self._answer = query_handler.answer
@@ -459,6 +467,9 @@
         gauges = {
             'target_running': load.in_flight,
             'target_waiting': load.queued,
+            'target_limit': self._scheduler.limit,
+            'target_abandoned': self._scheduler.abandoned_count,
+            'target_slowness': self._scheduler.slowness,
             'members_silent': len(self._presence_view.silent),
             'declared_version': self._states.current.declared_version,
             'declared_age_seconds': now - self._declared.view.as_of,
