Send large answers between nodes in parts that the line's owner grants

An answer of up to 540 KB was one frame on the connection for small frames, and went out at once: 0.43 s at 10 Mbit/s, during which small answers and lease traffic waited.

Nodes of earlier versions (takes_parts is missing) and nodes without a line get the whole WorkAnswer.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -131,6 +131,14 @@
             'key_rows_granted_total',
             'Key ranges granted to the target after a change',
         )
+        self.answers_refused = self._add_counts(
+            'answers_refused_total',
+            'Requests not run since their answer could not leave, by reason',
+        )
+        self.answers_dropped = self._add_counts(
+            'answers_dropped_total',
+            'Large answers that their requester did not fetch, by reason',
+        )
         self._times = {
             name: self._add_times(name, help_text)
             for name, help_text in (
@@ -141,6 +149,10 @@
                 ('connect_seconds', 'Time to connect to a node, by outcome'),
                 ('body_seconds', 'Time until a large body came, by outcome'),
                 ('loop_late_seconds', 'Lateness of the event loop'),
+                (
+                    'answer_line_seconds',
+                    'Time of large answers until their last part may leave',
+                ),
             )
         }
         self._gauges = {
@@ -155,6 +167,9 @@
                 ('hold_margin_seconds', 'Time left of the latest hold'),
                 ('link_sent_bytes', 'Sent to other nodes since the start'),
                 ('link_received_bytes', 'Received from other nodes'),
+                ('answer_held_bytes', 'Large answers expected or held'),
+                ('answer_left_bytes', 'Of these, still to leave'),
+                ('answers_open', 'Large answers that are leaving'),
             )
         }
 
--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -30,14 +30,20 @@
     seconds.
     """
     return linking.Work(
-        *_list_head_fields(number, head, now), body, head.repeat_share
+        *_list_head_fields(number, head, now),
+        body,
+        head.repeat_share,
+        takes_parts=True,
     )
 
 
 def encode_offer(number, head, size, now) -> linking.WorkOffer:
     """Return the frame that announces a request body of ``size`` bytes."""
     return linking.WorkOffer(
-        *_list_head_fields(number, head, now), size, head.repeat_share
+        *_list_head_fields(number, head, now),
+        size,
+        head.repeat_share,
+        takes_parts=True,
     )
 
 
@@ -89,13 +95,7 @@
 
 async def encode_reply(number, reply):
     """Return the frame of an answer or a refusal."""
-    load = reply.load
-    load_fields = load and (
-        load.in_flight,
-        load.queued,
-        load.limit,
-        load.latency_s,
-    )
+    load_fields = _list_load_fields(reply.load)
     match reply:
         case requests.Answer():
             body = await wholebodies.read_answer(reply)
@@ -115,6 +115,39 @@
             )
 
 
+def _list_load_fields(load: requests.Load | None):
+    return load and (
+        load.in_flight,
+        load.queued,
+        load.limit,
+        load.latency_s,
+    )
+
+
+def encode_answer_head(
+    exchange: int, answer: requests.Answer, held: int, size: int
+) -> linking.AnswerHead:
+    """Return the head of an answer whose body is held as number ``held``."""
+    return linking.AnswerHead(
+        exchange,
+        answer.status,
+        answer.headers,
+        _list_load_fields(answer.load),
+        held,
+        size,
+    )
+
+
+def decode_answer_head(frame: linking.AnswerHead, body) -> requests.Answer:
+    """Return the answer with the body that was fetched."""
+    return wholebodies.build_answer(
+        frame.status,
+        frame.headers,
+        body,
+        frame.load and requests.Load(*frame.load),
+    )
+
+
 def decode_reply(frame) -> requests.Answer | requests.Refusal:
     """Return the answer or refusal of a frame.
 
--- a/sesamejunction/commands/wholebodies.py
+++ b/sesamejunction/commands/wholebodies.py
@@ -32,6 +32,11 @@
             raise StopAsyncIteration
         return self.take()
 
+    @property
+    def size(self) -> int:
+        """Return the number of bytes that are left."""
+        return len(self._data)
+
     def take(self) -> bytes:
         """Return the bytes that are left, without waiting."""
         data, self._data = self._data, b''
--- a/sesamejunction/decisions/linebudget.py
+++ b/sesamejunction/decisions/linebudget.py
@@ -155,6 +155,10 @@
         self._promises[answer.number] = Promise(answer, answer.size)
         self.held += answer.size
 
+    def find(self, number: int) -> outgoinganswers.ExpectedAnswer:
+        """Return a counted answer."""
+        return self._promises[number].answer
+
     def settle(self, number: int, size: int) -> None:
         """Replace the expected size of a counted answer."""
         promise = self._promises.get(number)
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -51,10 +51,12 @@
     """A request with its body.
 
     ``repeat_share`` as in requests.Head; earlier versions do not send it.
+    ``takes_parts`` is set if the sender accepts AnswerHead as the reply.
     """
 
     body: bytes
     repeat_share: float = 0.0
+    takes_parts: bool = False
 
 
 class WorkAnswer(Frame, tag=3):
@@ -144,11 +146,12 @@
 
     It has its own tag so that a node of an earlier version closes the
     connection instead of running the request without a body.
-    ``repeat_share`` as in Work.
+    ``repeat_share`` and ``takes_parts`` as in Work.
     """
 
     size: int
     repeat_share: float = 0.0
+    takes_parts: bool = False
 
 
 class AskPart(Frame, tag=16):
@@ -195,6 +198,43 @@
     as_of_s: float
 
 
+class AnswerHead(Frame, tag=22):
+    """The target's answer without its body of ``size`` bytes.
+
+    The body is held under ``number`` and sent in parts on request. ``load``
+    as in WorkAnswer.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    load: tuple[int, int, int, float] | None
+    number: int
+    size: int
+
+
+class AskAnswerPart(Frame, tag=23):
+    """Requests ``size`` bytes of a held answer from ``start`` on.
+
+    It is sent on the connection for large bodies, as the following frames.
+    """
+
+    number: int
+    start: int
+    size: int
+
+
+class AnswerPart(Frame, tag=24):
+    """Answers AskAnswerPart; empty if the answer is not held any more."""
+
+    data: bytes
+
+
+class DropAnswer(Frame, tag=25):
+    """Tells that a held answer has arrived or is not needed any more."""
+
+    number: int
+
+
 FRAMES = (
     Hello
     | Work
@@ -215,6 +255,10 @@
     | BodyPart
     | NewsQuestion
     | NewsReply
+    | AnswerHead
+    | AskAnswerPart
+    | AnswerPart
+    | DropAnswer
 )
 REPLIES = (
     WorkAnswer,
@@ -224,4 +268,6 @@
     LoadReply,
     NewsReply,
     Pong,
+    AnswerHead,
+    AnswerPart,
 )
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 
 from sesamejunction.border import framing
 from sesamejunction.border import linkcodec
 from sesamejunction.commands import bodies
+from sesamejunction.commands import largeanswers
 from sesamejunction import errors
 from sesamejunction.model import incomingbodies
 from sesamejunction.model import linking
+from sesamejunction.model import outgoinganswers
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
 
@@ -28,6 +31,7 @@
     ``host_request`` runs a request at the target beside this node. ``answer``
     returns the reply to a question, or None if there is none to send.
     ``body_ports`` is used to receive large bodies, ``traffic`` counts bytes.
+    ``answers`` sends large answers in parts; None sends them whole.
     """
 
     incarnation: int
@@ -37,10 +41,26 @@
     body_ports: bodies.Ports | None = None
     traffic: object = None
     connections: set = dataclasses.field(default_factory=set)
+    answers: largeanswers.Ports | None = None
+
+    def find_heard_at(self, sender: int) -> float:
+        """Return when a node was last heard of, -inf without connections."""
+        return max(
+            (
+                connection.heard_at
+                for connection in self.connections
+                if connection.sender == sender
+            ),
+            default=float('-inf'),
+        )
 
 
 class LinkServer(framing.FrameProtocol):
-    """The server side of one connection."""
+    """The server side of one connection.
+
+    ``sender`` is the incarnation of the other node, 0 before its hello.
+    ``heard_at`` is the boot-clock time of the latest data.
+    """
 
     def __init__(self, ports: ServerPorts):
         super().__init__(ports.traffic, framing.MAX_HELLO_BYTES)
@@ -48,7 +68,8 @@
         self._is_authenticated = False
         self._is_stale = False
         self._close_requested = False
-        self._sender = 0
+        self.sender = 0
+        self.heard_at = float('-inf')
         self._running = {}
         self._part_tasks = set()
 
@@ -63,6 +84,16 @@
         for task, repeatable in self._running.values():
             if repeatable:
                 task.cancel()
+        answers, heard_at = self._ports.answers, self._ports.find_heard_at
+        if answers is not None and heard_at(self.sender) == float('-inf'):
+            answers.line.tell_reliably(
+                outgoinganswers.RequesterLost(self.sender)
+            )
+
+    def data_received(self, data):
+        """Record that the peer is alive, also for part of a long frame."""
+        self.heard_at = clock.read_boot_clock()
+        super().data_received(data)
 
     def handle_frame(self, frame) -> None:
         """Handle a frame from the peer."""
@@ -93,6 +124,10 @@
                 )
             case linking.WorkOffer():
                 self._handle_offer(frame)
+            case linking.AskAnswerPart():
+                self._start_task(frame.id, self._send_answer_part(frame), True)
+            case linking.DropAnswer():
+                self._drop_answer(frame)
             case linking.BodyPart():
                 part_task = asyncio.ensure_future(self._handle_part(frame))
                 self._part_tasks.add(part_task)
@@ -128,7 +163,7 @@
             self._ports.secret, hello
         )
         self._is_stale = hello.receiver != self._ports.incarnation
-        self._sender = hello.sender
+        self.sender = hello.sender
         if not self._is_authenticated:
             self.transport.abort()
         elif self._is_stale:
@@ -144,7 +179,52 @@
     async def _run_work(self, frame) -> None:
         head = linkcodec.decode_work(frame, clock.read_boot_clock())
         reply = await self._ports.host_request(head, frame.body)
-        self.send_frame(await linkcodec.encode_reply(frame.id, reply))
+        await self._send_reply(frame, head, reply)
+
+    async def _send_reply(self, frame, head, reply) -> None:
+        """Send a reply; a large answer waits for its turn on the line."""
+        answers = self._ports.answers
+        if (
+            answers is None
+            or not isinstance(reply, requests.Answer)
+            or not largeanswers.is_large(reply)
+        ):
+            self.send_frame(await linkcodec.encode_reply(frame.id, reply))
+        elif not frame.takes_parts:
+            # A node of an earlier version takes it only as one frame.
+            size = reply.chunks.size
+            await largeanswers.wait_for_turn(
+                answers, size, head.rank, head.deadline
+            )
+            self.send_frame(await linkcodec.encode_reply(frame.id, reply))
+        elif not self.transport.is_closing():
+            held = await largeanswers.hold_for_peer(
+                answers, head, reply, self.sender
+            )
+            self.send_frame(
+                linkcodec.encode_answer_head(
+                    frame.id, reply, held.number, held.size
+                )
+            )
+        else:
+            await reply.resources.aclose()
+
+    async def _send_answer_part(self, frame) -> None:
+        data = b''
+        if self._ports.answers is not None:
+            with contextlib.suppress(errors.InboxFull, errors.TaskStopped):
+                data = await self._ports.answers.line.ask(
+                    outgoinganswers.TakePart(
+                        frame.number, self.sender, frame.start, frame.size
+                    )
+                )
+        self.send_frame(linking.AnswerPart(frame.id, data))
+
+    def _drop_answer(self, frame) -> None:
+        if self._ports.answers is not None:
+            self._ports.answers.line.tell_reliably(
+                outgoinganswers.DropAnswer(frame.number, self.sender)
+            )
 
     def _handle_offer(self, frame) -> None:
         if not 0 < frame.size <= framing.MAX_FRAME_BYTES:
@@ -163,7 +243,7 @@
                 linking.AskPart(frame.id, turn, part.start, part.size)
             )
 
-        sender = bodies.OfferingNode(self._sender, request_part)
+        sender = bodies.OfferingNode(self.sender, request_part)
         reply = await bodies.fetch_offered_body(
             self._ports.body_ports, sender, head, frame.size
         )
@@ -171,13 +251,13 @@
             task, _ = self._running[frame.id]
             self._running[frame.id] = task, frame.repeatable
             reply = await self._ports.host_request(head, reply.data)
-        self.send_frame(await linkcodec.encode_reply(frame.id, reply))
+        await self._send_reply(frame, head, reply)
 
     async def _handle_part(self, frame) -> None:
         """Pass on a part; close the connection if it was not requested."""
         try:
             taken = await self._ports.body_ports.intake.ask(
-                incomingbodies.PartArrived(frame.id, self._sender, frame.data)
+                incomingbodies.PartArrived(frame.id, self.sender, frame.data)
             )
         except (errors.InboxFull, errors.TaskStopped):
             # The body is refused when the wait for the part times out.
@@ -217,7 +297,7 @@
     while ports.connections and loop.time() < ends_at:
         all_sent = not any(
             connection.buffered for connection in ports.connections
-        )
+        ) and not (ports.answers and ports.answers.line.open_answers)
         if all_sent and loop.time() >= grace_ends:
             return
         for connection in ports.connections:
