Refuse a request whose answer cannot leave, before it runs

The target made answers that the line could not carry by their deadline: its place and the line were used for callers that had left.

The node beside the target keeps the mean answer size of each route and promises the expected bytes to the line before it asks for a place. The promise is replaced by the real size, and released when the answer is small, fails or was read. Offers of large bodies are checked in the same way before the body is sent.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 
+from sesamejunction.commands import largeanswers
 from sesamejunction.commands import ports as porting
 from sesamejunction import errors
 from sesamejunction.model import gating
@@ -57,7 +58,8 @@
     """Dependencies, and ``misses``, the count of consecutive missing answers.
 
     ``holdings`` is a HoldingsView, ``lines`` a logger that limits the rate of
-    its messages. ``clock`` returns boot-clock seconds.
+    its messages. ``clock`` returns boot-clock seconds. ``answers`` counts
+    large answers on the line; it is None if the line's speed is unknown.
     """
 
     states: porting.StateView
@@ -70,6 +72,7 @@
     clock: object
     misses: int = 0
     open_runs: OpenRuns = dataclasses.field(default_factory=OpenRuns)
+    answers: largeanswers.Ports | None = None
 
 
 async def host_request(
@@ -108,6 +111,12 @@
     refusal = find_key_refusal(ports, head)
     if refusal is not None:
         return gating.AdmissionEstimate(refusal, 0.0)
+    if ports.answers is not None:
+        refusal = await largeanswers.find_refusal(
+            ports.answers, head, _estimate_answer_time(ports, head)
+        )
+        if refusal is not None:
+            return gating.AdmissionEstimate(refusal, 0.0)
     return await ports.scheduler.ask(gating.CheckAdmission(head))
 
 
@@ -145,6 +154,28 @@
 
 async def _run_with_permit(ports, head, body):
     """Acquire a permit, send the request and release the permit."""
+    if ports.answers is None:
+        return await _admit_and_send(ports, head, body)
+    # The line is asked first: an answer that cannot leave needs no permit.
+    promised = await largeanswers.promise_answer(
+        ports.answers, head, _estimate_answer_time(ports, head)
+    )
+    if isinstance(promised, requests.Refusal):
+        return dataclasses.replace(promised, load=ports.scheduler.load)
+    reply = None
+    try:
+        reply = await _admit_and_send(ports, head, body)
+        return reply
+    finally:
+        largeanswers.settle_answer(ports.answers, head, promised, reply)
+
+
+def _estimate_answer_time(ports, head) -> float:
+    """Return the earliest boot-clock time of the answer to a request."""
+    return ports.clock() + ports.scheduler.estimate_min_time(head.route)
+
+
+async def _admit_and_send(ports, head, body):
     report = SendReport()
     try:
         refusal = await _acquire_permit(ports, head)
--- a/sesamejunction/commands/largeanswers.py
+++ b/sesamejunction/commands/largeanswers.py
@@ -75,6 +75,21 @@
     return expected if refusal is None else refusal
 
 
+async def find_refusal(
+    ports: Ports, head: requests.Head, ready_at: float
+) -> requests.Refusal | None:
+    """Return why the answer to a request could not leave, None if it could.
+
+    Nothing is promised.
+    """
+    promised = await promise_answer(ports, head, ready_at)
+    if isinstance(promised, requests.Refusal):
+        return promised
+    if promised is not None:
+        release(ports, promised)
+    return None
+
+
 def settle_answer(ports: Ports, head, expected, reply) -> None:
     """Replace the promise by the real answer, until its body is read."""
     size = 0
@@ -123,6 +138,33 @@
         )
 
 
+class CallerLine:
+    """Paces large answers to callers, for border/pipelinedhttp."""
+
+    def __init__(self, ports: Ports):
+        self._ports = ports
+
+    def begin(self, size: int, rank: int, deadline: float) -> int:
+        """Count an answer of ``size`` bytes; returns its number."""
+        number = next(self._ports.numbers)
+        self._ports.line.tell_reliably(
+            outgoinganswers.AddAnswer(
+                outgoinganswers.ExpectedAnswer(number, size, rank, deadline)
+            )
+        )
+        return number
+
+    async def grant(
+        self, size: int, rank: int, deadline: float, number: int = 0
+    ) -> None:
+        """Wait until ``size`` bytes of an answer may be written."""
+        await wait_for_turn(self._ports, size, rank, deadline, number)
+
+    def end(self, number: int) -> None:
+        """Stop counting an answer."""
+        self._ports.line.tell_reliably(outgoinganswers.ReleaseAnswer(number))
+
+
 @contextlib.contextmanager
 def count(ports: Ports | None, head: requests.Head, size: int):
     """Count an answer that exists until the context ends; yield it."""
--- a/test/test_hosting.py
+++ b/test/test_hosting.py
@@ -8,12 +8,14 @@
 from sesamejunction.border import hostedmetrics
 from sesamejunction.border import logs
 from sesamejunction.commands import hosting
+from sesamejunction.commands import largeanswers
 from sesamejunction.commands import ports as porting
 from sesamejunction.commands import wholebodies
 from sesamejunction import errors
 from sesamejunction.model import gating
 from sesamejunction.model import leasing
 from sesamejunction.model import requests
+from sesamejunction.tasks import line
 
 ADMITTED = gating.Admitted(requests.Load(1, 0, 2, 0.05))
 
@@ -69,11 +71,12 @@
     )  # fmt: skip
 
 
-async def run(target, reply=ADMITTED, wait_s=0.0):
+async def run(target, reply=ADMITTED, wait_s=0.0, answers=None):
     scheduler = FakeScheduler(reply, wait_s)
     ports = hosting.Ports(
         porting.StateView(), scheduler, scheduler, None, target,
         logs.ThrottledLogger(), hostedmetrics.HostedMetrics(), time.monotonic,
+        answers=answers,
     )  # fmt: skip
     outcome = await hosting.host_request(ports, make_head(), b'')
     return outcome, scheduler
@@ -158,3 +161,56 @@
     for _ in range(4):
         await hosting.host_request(ports, make_head(0.02), b'')
     assert (leasing.TargetUnreachable() in scheduler.told) is suspect
+
+
+LARGE = wholebodies.build_answer(200, (), bytes(90_000))
+SMALLER = wholebodies.build_answer(200, (), b'x')
+# Rows: size of earlier answers of the route, limit of held bytes, what the
+# target does, whether the request reaches it, and the bytes that are counted
+# until the answer has been read.
+LARGE_ANSWERS = {
+    'admitted': (90_000, 1 << 20, LARGE, True, 90_000),
+    'nothing known': (0, 10, LARGE, True, 0),
+    'small answers': (100, 10, SMALLER, True, 0),
+    'turns out smaller': (90_000, 1 << 20, SMALLER, True, 0),
+    'memory full': (90_000, 80_000, LARGE, False, 0),
+    'line full': (540_000, 1 << 20, LARGE, False, 0),
+    'declined': (
+        *(90_000, 1 << 20, porting.refuse(requests.Code.SHED, 'full')),
+        *(True, 0),
+    ),
+    'no answer': (90_000, 1 << 20, None, True, 0),
+}
+
+
+# Guards against a request that runs although its answer cannot leave, against
+# a refusal after it ran, and against bytes that stay promised.
+@pytest.mark.parametrize(
+    ('known', 'held_limit', 'result', 'runs', 'counted'),
+    LARGE_ANSWERS.values(),
+    ids=LARGE_ANSWERS,
+)
+async def test_answer_is_admitted_before_the_request_runs(
+    known, held_limit, result, runs, counted
+):
+    task = line.Line(10.0, hostedmetrics.HostedMetrics(), held_limit)
+    running = asyncio.ensure_future(task.run())
+    answers = largeanswers.Ports(task)
+    if known:
+        answers.sizes.record('', known)
+    target = FakeTarget(result)
+    found, _ = await run(target, answers=answers)
+    assert target.sent == runs
+    if not runs:
+        assert found.code is requests.Code.OVERLOADED
+        assert found.outcome is requests.Outcome.NOT_RUN
+        assert found.retry_after_s > 0
+        assert found.load == FakeScheduler.load
+        assert {'answer_size', 'needed_s'} <= dict(found.inputs).keys()
+    await asyncio.sleep(0)
+    assert task.held_bytes == counted
+    if isinstance(found, requests.Answer):
+        await found.resources.aclose()
+    await asyncio.sleep(0)
+    assert task.held_bytes == 0
+    running.cancel()
