Pace large answers on the way to callers, and wire the line's owner

The hosted node with a known SESAMEJUNCTION_LINE_MBPS now owns its line: answers for other nodes and for callers take turns by rank and deadline. Replies of 16 to 64 KiB wait for one turn before they are handed to the connection; larger ones are written in parts of 32 KiB, each when the line grants it and the caller reads. A connection that fails halfway is aborted, so that the answer looks broken off. A planned stop waits for answers that are leaving. Without a known speed nothing changes.

--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -26,6 +26,10 @@
 # After the last answer, bytes of the caller are read for this time. Closing
 # with unread bytes would reset the connection and could destroy the answer.
 LINGER_S = 1.0
+# Replies of at least this size are written in parts, each when the line has
+# room for it; smaller ones take up to 0.05 s at 10 Mbit/s.
+LARGE_REPLY_BYTES = 1 << 16
+REPLY_PART_BYTES = 1 << 15
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 VERSIONS = ('1.1', '1.0')
 BODILESS_STATUSES = frozenset((204, 304))
@@ -34,11 +38,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerReply:
-    """An answer to a caller; lengths and connection fields are added."""
+    """An answer to a caller; lengths and connection fields are added.
+
+    ``rank`` and ``deadline`` order the parts of large replies on the line.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b''
+    rank: int = 0
+    deadline: float = float('inf')
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,7 +57,8 @@
     ``handle`` is a coroutine that returns the CallerReply to a CallerRequest.
     ``is_repeatable`` returns whether a CallerRequest may run more than once,
     ``is_stopping`` whether the node stops, ``find_head_limit`` the most bytes
-    of a request head. ``clock`` is that of request deadlines.
+    of a request head. ``clock`` is that of request deadlines. ``line`` paces
+    large replies (commands/largeanswers.CallerLine); None writes them whole.
     """
 
     handle: collections.abc.Callable
@@ -57,6 +67,7 @@
     find_head_limit: collections.abc.Callable
     clock: collections.abc.Callable
     connections: set = dataclasses.field(default_factory=set)
+    line: object = None
 
 
 class CallerRequest:
@@ -187,6 +198,10 @@
         self._input_ended = False
         self._is_reading_paused = False
         self._is_writing_paused = False
+        # The task that writes a large reply in parts, and the future that it
+        # waits for while the caller does not read.
+        self._parts_task = None
+        self._writable = None
         self._idle_since = 0.0
         self._idle_timer = None
         self._drop_timer = None
@@ -202,6 +217,8 @@
     def connection_lost(self, exc):
         """Cancel all requests: their answers cannot be sent."""
         self._input_ended = True
+        if self._parts_task is not None:
+            self._parts_task.cancel()
         self._ports.connections.discard(self)
         self._idle_timer.cancel()
         if self._drop_timer is not None:
@@ -222,6 +239,8 @@
     def resume_writing(self):
         """Send the answers that were held."""
         self._is_writing_paused = False
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
         self._advance()
         self._update_reading()
 
@@ -368,19 +387,11 @@
                 exchange.task = asyncio.ensure_future(
                     self._run(number, exchange)
                 )
-            if self._is_writing_paused:
+            if self._is_writing_paused or self._parts_task is not None:
                 return
             sendable = self._pipeline.take_sendable(is_stopping)
-            if sendable is None:
-                return
-            self._send(sendable)
-            if sendable.closes:
-                return
-            if self._input_ended and not self._exchanges:
-                # What follows an early answer cannot be read.
-                self._close_gracefully(False)
+            if sendable is None or not self._send(sendable):
                 return
-            self._send_continue()
 
     async def _run(self, number, exchange) -> None:
         request = exchange.request
@@ -410,21 +421,62 @@
         self._advance()
         self._update_reading()
 
-    def _send(self, sendable: pipelines.Sendable) -> None:
+    def _send(self, sendable: pipelines.Sendable) -> bool:
+        """Write an answer; return whether the next one may follow now."""
         exchange = self._exchanges.pop(sendable.number)
         for number in sendable.dropped:
             del self._exchanges[number]
-        self._transport.write(
-            encode_reply(
-                exchange.reply,
-                sendable.closes,
-                not exchange.is_http_11,
-            )
+        data = encode_reply(
+            exchange.reply, sendable.closes, not exchange.is_http_11
+        )
+        if self._ports.line is None or len(data) < LARGE_REPLY_BYTES:
+            self._transport.write(data)
+            return self._finish_answer(exchange, sendable.closes)
+        self._parts_task = asyncio.ensure_future(
+            self._send_parts(memoryview(data), exchange, sendable.closes)
         )
+        return False
+
+    async def _send_parts(self, data, exchange, closes) -> None:
+        """Write a large answer, each part when the line has room for it."""
+        line = self._ports.line
+        rank, deadline = exchange.reply.rank, exchange.reply.deadline
+        # ``data`` contains the body, which is not kept twice.
+        exchange.reply = None
+        number = line.begin(len(data), rank, deadline)
+        try:
+            for start in range(0, len(data), REPLY_PART_BYTES):
+                part = data[start : start + REPLY_PART_BYTES]
+                if self._is_writing_paused:
+                    loop = asyncio.get_running_loop()
+                    self._writable = loop.create_future()
+                    await self._writable
+                await line.grant(len(part), rank, deadline, number)
+                self._transport.write(part)
+        except BaseException:
+            # The caller must not take a part for the whole answer.
+            self.abort()
+            raise
+        finally:
+            line.end(number)
+        self._parts_task = None
+        if self._finish_answer(exchange, closes):
+            self._advance()
+            self._update_reading()
+
+    def _finish_answer(self, exchange, closes) -> bool:
+        """Note a written answer; return whether another may follow."""
         if not self._exchanges:
             self._idle_since = asyncio.get_running_loop().time()
-        if sendable.closes:
+        if closes:
             self._close_gracefully(exchange.request.is_complete)
+            return False
+        if self._input_ended and not self._exchanges:
+            # What follows an early answer cannot be read.
+            self._close_gracefully(False)
+            return False
+        self._send_continue()
+        return True
 
     def _close_gracefully(self, is_all_read: bool) -> None:
         """Close after the answer; wait for a caller that still sends."""
@@ -452,6 +504,7 @@
             and exchange.awaits_continue
             and exchange.is_body_wanted
             and exchange.reply is None
+            and self._parts_task is None
         ):
             exchange.awaits_continue = False
             self._transport.write(CONTINUE)
@@ -481,7 +534,7 @@
     def _check_idle(self) -> None:
         loop = asyncio.get_running_loop()
         due = self._idle_since + IDLE_TIMEOUT_S
-        if self._exchanges:
+        if self._exchanges or self._parts_task is not None:
             due = loop.time() + IDLE_TIMEOUT_S
         elif loop.time() >= due:
             self._transport.close()
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -7,9 +7,11 @@
 
 from sesamejunction.border import pipelinedhttp
 from sesamejunction.commands import hosting
+from sesamejunction.commands import largeanswers
 from sesamejunction.commands import requests as commands
 from sesamejunction.commands import uploads
 from sesamejunction.commands import wholebodies
+from sesamejunction.decisions import linebudget
 from sesamejunction.decisions import routing as deciding
 from sesamejunction import errors
 from sesamejunction.model import ranges
@@ -43,7 +45,7 @@
     ``service`` is that of the target on this instance, ``open_runs`` its
     present work. ``audit`` records outcomes and refusals. Caller keys are
     trusted for ``key_trust_s`` after the declarations were last known to be
-    current.
+    current. ``answers`` paces large answers; None writes them at once.
     """
 
     ports: commands.Ports
@@ -52,6 +54,7 @@
     audit: object
     open_runs: hosting.OpenRuns
     key_trust_s: float = bounds.Bounds().key_trust_s
+    answers: largeanswers.Ports | None = None
 
 
 class RequestRefused(Exception):
@@ -101,6 +104,7 @@
 
     def build_server(self) -> pipelinedhttp.CallerServer:
         """Return the server; closing a connection cancels its requests."""
+        answers = self._context.answers
         return pipelinedhttp.CallerServer(
             pipelinedhttp.ServerPorts(
                 self.handle,
@@ -108,6 +112,7 @@
                 lambda: self.stopping,
                 lambda: self._context.ports.states.current.limits.head_bytes,
                 self._context.ports.clock,
+                line=answers and largeanswers.CallerLine(answers),
             )
         )
 
@@ -161,9 +166,15 @@
         match outcome:
             case requests.Answer():
                 answer_body = await wholebodies.read_answer(outcome)
-                return build_reply(
+                reply = build_reply(
                     outcome.status, answer_body, outcome.headers
                 )
+                if (
+                    context.answers is None
+                    or len(answer_body) < linebudget.LARGE_ANSWER_BYTES
+                ):
+                    return reply
+                return await self._pace_reply(head, reply)
             case requests.Refusal():
                 return build_reply(
                     find_status(outcome),
@@ -172,6 +183,29 @@
                     outcome.retry_after_s,
                 )
 
+    async def _pace_reply(self, head, reply):
+        """Return a reply once the line has room for its first bytes.
+
+        The parts of larger ones wait for their turns at the connection.
+        """
+        size = len(reply.body)
+        if size >= pipelinedhttp.LARGE_REPLY_BYTES:
+            return dataclasses.replace(
+                reply, rank=head.rank, deadline=head.deadline
+            )
+        answers = self._context.answers
+        try:
+            with largeanswers.count(answers, head, size) as counted:
+                await largeanswers.wait_for_turn(
+                    answers, size, head.rank, head.deadline, counted.number
+                )
+        except asyncio.CancelledError:
+            # At the end of a planned stop the answer goes out at once.
+            if not self._context.ports.stop.is_over:
+                raise
+            asyncio.current_task().uncancel()
+        return reply
+
     def _check_not_stopping(self) -> None:
         if self.refusing:
             raise RequestRefused(503, 'the node stops; come back', RESTART_S)
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -16,6 +16,7 @@
 from sesamejunction.border import targetconnections
 from sesamejunction.commands import bodies
 from sesamejunction.commands import hosting
+from sesamejunction.commands import largeanswers
 from sesamejunction.commands import ports as porting
 from sesamejunction import errors
 from sesamejunction.model import gating
@@ -40,6 +41,7 @@
 from sesamejunction.tasks import datagrams
 from sesamejunction.tasks import follower
 from sesamejunction.tasks import intake
+from sesamejunction.tasks import line
 from sesamejunction.tasks import links
 from sesamejunction.tasks import linkserver
 from sesamejunction.tasks import presence
@@ -243,6 +245,12 @@
         )
         self._lease.subscribers = (self._scheduler,)
         self._intake = intake.Intake(node_settings.line_mbps, self._scheduler)
+        # Without a known speed, large answers are sent whole and at once.
+        self._line = self._answers = None
+        if node_settings.line_mbps:
+            self._line = line.Line(node_settings.line_mbps, self._metrics)
+            self._answers = largeanswers.Ports(self._line)
+        self._links.answers = self._answers
 
     def _build_state(self) -> None:
         node_settings = self._settings
@@ -293,6 +301,7 @@
             logs.ThrottledLogger(),
             self._metrics,
             clock.read_boot_clock,
+            answers=self._answers,
         )
 
         async def host_request(head, body):
@@ -331,6 +340,7 @@
                 self._audit,
                 hosting_ports.open_runs,
                 self._bounds.key_trust_s,
+                answers=self._answers,
             )
         )
         self.heartbeat_handler = heartbeathttp.HeartbeatHandler(
@@ -351,7 +361,10 @@
             self._answer,
             self._bodies,
             self._usage.traffic,
+            answers=self._answers,
         )
+        if self._line is not None:
+            self._line.find_heard_at = ports.find_heard_at
         self._listener = await asyncio.get_running_loop().create_server(
             lambda: linkserver.LinkServer(ports),
             sock=httpclient.bind_listener(
@@ -382,6 +395,7 @@
             self._registry,
             self._registrar,
             self._intake,
+            *(() if self._line is None else (self._line,)),
             *self._list_state_subscribers(),
         )
 
@@ -425,9 +439,15 @@
         await linkserver.close_connections(self._peer_ports, deadline)
 
     def count_open_requests(self) -> int:
-        """Return the number of requests that run or wait at this node."""
+        """Return the number of requests that run or wait at this node.
+
+        Large answers that are leaving count as well.
+        """
         load = self._scheduler.load
-        return self.front.open_requests + load.in_flight + load.queued
+        leaving = 0 if self._line is None else self._line.open_answers
+        return (
+            self.front.open_requests + load.in_flight + load.queued + leaving
+        )
 
     def _describe_decision_inputs(self, head) -> dict:
         """Return versions and ages of the data used to decide on a request."""
@@ -466,6 +486,10 @@
             'link_sent_bytes': self._usage.traffic.sent,
             'link_received_bytes': self._usage.traffic.received,
         }
+        if self._line is not None:
+            gauges['answer_held_bytes'] = self._line.held_bytes
+            gauges['answer_left_bytes'] = self._line.left_bytes
+            gauges['answers_open'] = self._line.open_answers
         for name, value in gauges.items():
             self._metrics.set(name, value)
 
--- /dev/null
+++ b/test/test_pacedreplies.py
@@ -0,0 +1,135 @@
+"""Large replies to callers, written in parts that the line grants."""
+
+import asyncio
+
+import pytest
+
+from sesamejunction.border import pipelinedhttp
+from test import test_pipelinedhttp as plain
+
+LARGE = b'x' * (1 << 20)
+EXPECT = f'Expect: 100-continue\r\n{plain.CLOSE}'
+
+
+class FakeLine:
+    """Grants every part after ``delay_s``; records open answers."""
+
+    def __init__(self):
+        self.delay_s = 0.0
+        self.open = set()
+        self.granted = []
+        self.error = None
+
+    def begin(self, size, rank, deadline):
+        self.open.add(size)
+        return size
+
+    async def grant(self, size, rank, deadline, number=0):
+        await asyncio.sleep(self.delay_s)
+        self.granted.append(size)
+        if self.error is not None and len(self.granted) > 3:
+            raise self.error
+
+    def end(self, number):
+        self.open.remove(number)
+
+
+@pytest.fixture
+async def paced(unused_tcp_port):
+    """Yield the port of a server and its line."""
+    line, handler = FakeLine(), plain.Handler()
+    ports = pipelinedhttp.ServerPorts(
+        handler.handle,
+        lambda request: request.method == 'GET',
+        lambda: False,
+        lambda: plain.HEAD_LIMIT,
+        asyncio.get_running_loop().time,
+        line=line,
+    )
+    server = pipelinedhttp.CallerServer(ports)
+    await server.start(plain.HOST, unused_tcp_port, 10)
+    yield unused_tcp_port, line
+    await server.close()
+
+
+# Rows: what the caller sends, and the statuses in their order.
+PIPELINES = {
+    'one': (plain.request('/large', fields=plain.CLOSE), [200]),
+    'before a small one': (plain.request('/large') + plain.LAST, [200, 200]),
+    'behind a slow one': (
+        plain.request('/slow') + plain.request('/large') + plain.LAST,
+        [200, 200, 200],
+    ),
+    'before a body that is asked for': (
+        plain.request('/large') + plain.upload('/a', 3, 0, EXPECT) + '\0bbb',
+        [200, 100, 200],
+    ),
+    'before an unreadable request': (
+        plain.request('/large') + 'odd\r\n\r\n',
+        [200, 400],
+    ),
+}
+
+
+# Guards against bytes of another answer inside a large one, and against a
+# large one that is cut by what follows it.
+@pytest.mark.parametrize(
+    ('sent', 'statuses'), PIPELINES.values(), ids=PIPELINES
+)
+async def test_large_reply_is_written_whole(paced, sent, statuses):
+    port, line = paced
+    line.delay_s = 0.003
+    text = await plain.exchange(port, *sent.split('\0'), wait_s=0.3)
+    assert plain.list_statuses(text) == statuses
+    assert LARGE.decode() in text
+    assert sum(line.granted) > len(LARGE)
+    assert max(line.granted) <= pipelinedhttp.REPLY_PART_BYTES
+    assert not line.open
+
+
+async def leave(writer, line):
+    writer.transport.abort()
+
+
+async def break_line(writer, line):
+    line.error = ValueError('a fault')
+
+
+# Guards against a broken reply that looks complete, and against an answer
+# that stays counted.
+@pytest.mark.parametrize('end', [leave, break_line])
+async def test_reply_that_breaks_off(paced, end):
+    port, line = paced
+    line.delay_s = 0.01
+    reader, writer = await asyncio.open_connection(plain.HOST, port)
+    writer.write(plain.request('/large').encode())
+    received = await reader.readuntil(b'xxx')
+    await asyncio.sleep(0.05)
+    assert line.open
+    await end(writer, line)
+    await asyncio.sleep(0.1)
+    assert not line.open
+    assert len(line.granted) < len(LARGE) / pipelinedhttp.REPLY_PART_BYTES
+    if end is break_line:
+        try:
+            received += await reader.read()
+        except ConnectionResetError:
+            pass
+        assert len(received) < len(LARGE)
+    writer.transport.abort()
+
+
+async def test_line_waits_for_no_caller_that_does_not_read(paced):
+    # Guards against parts that wait in memory, and take turns on the line, for
+    # a caller that does not read.
+    port, line = paced
+    _, writer = await asyncio.open_connection(plain.HOST, port, limit=1)
+    writer.write(plain.request('/large').encode() * 30)
+    granted = -1
+    async with asyncio.timeout(5):
+        while granted != len(line.granted):
+            granted = len(line.granted)
+            await asyncio.sleep(0.2)
+    assert len(line.open) == 1
+    assert sum(line.granted) < 30 * len(LARGE)
+    writer.transport.abort()
