Admit expected large answers at the node of the caller as well

Answers of other nodes' targets leave over the line of the entry machine, to callers. Only the target's line was asked, so a full line at the entry let targets make answers that nobody got in time.

The entry node promises the expected bytes of a route before the request is routed, and refuses it as overloaded, not run, if they cannot leave in time or the memory for answers is full. A target beside the caller is not asked again. The bytes are counted until the reply has been written.

--- a/bench/largeanswers.py
+++ b/bench/largeanswers.py
@@ -55,17 +55,33 @@
     print(f'after the burst: {describe_memory(fleet)}')
 
 
+async def measure_idle(fleet) -> dict[str, float]:
+    """Return the share of a processor that each idle node uses."""
+    before = fleet.read_cpu()
+    await asyncio.sleep(hop.IDLE_S)
+    after = fleet.read_cpu()
+    return {name: (after[name] - before[name]) / hop.IDLE_S for name in after}
+
+
 async def measure(line_mbps: str, count: int, burst: int) -> None:
     """Print processor time for each MB, then the result of a burst."""
     os.environ['SESAMEJUNCTION_LINE_MBPS'] = line_mbps
     async with hop.Fleet(False) as fleet:
         await fleet.send_many(LARGE, 100, 2)
-        before = fleet.read_cpu()
+        await asyncio.sleep(hop.SETTLE_S)
+        idle = await measure_idle(fleet)
+        loop = asyncio.get_running_loop()
+        started, before = loop.time(), fleet.read_cpu()
         statuses = await fleet.send_many(LARGE, count, 2)
-        after = fleet.read_cpu()
+        span_s, after = loop.time() - started, fleet.read_cpu()
         moved = statuses.get(200, 0) * len(hop.LARGE_RESPONSE_BODY) / MB
         costs = {
-            name: round((after[name] - before[name]) / moved * 1e3, 2)
+            name: round(
+                (after[name] - before[name] - idle[name] * span_s)
+                / moved
+                * 1e3,
+                2,
+            )
             for name in hop.NODES
         }
         print(f'line {line_mbps} Mbit/s: {statuses}, ms a MB: {costs}')
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -76,12 +76,17 @@
 
 
 async def host_request(
-    ports: Ports, head: requests.Head, body: bytes
+    ports: Ports, head: requests.Head, body: bytes, is_local: bool = False
 ) -> requests.Answer | requests.Refusal:
-    """Run a request at the local target; returns Answer or Refusal."""
+    """Run a request at the local target; returns Answer or Refusal.
+
+    ``is_local`` is set for a request that began at this node, which has
+    promised its answer to the line already.
+    """
     refusal = find_key_refusal(ports, head)
     if refusal is None:
-        reply = await _run_with_permit(ports, head, body)
+        answers = None if is_local else ports.answers
+        reply = await _run_with_permit(ports, answers, head, body)
     else:
         reply = dataclasses.replace(refusal, load=ports.scheduler.load)
     ports.metrics.target_requests.inc(describe_reply(reply))
@@ -152,13 +157,13 @@
     )
 
 
-async def _run_with_permit(ports, head, body):
+async def _run_with_permit(ports, answers, head, body):
     """Acquire a permit, send the request and release the permit."""
-    if ports.answers is None:
+    if answers is None:
         return await _admit_and_send(ports, head, body)
     # The line is asked first: an answer that cannot leave needs no permit.
     promised = await largeanswers.promise_answer(
-        ports.answers, head, _estimate_answer_time(ports, head)
+        answers, head, _estimate_answer_time(ports, head)
     )
     if isinstance(promised, requests.Refusal):
         return dataclasses.replace(promised, load=ports.scheduler.load)
@@ -167,7 +172,7 @@
         reply = await _admit_and_send(ports, head, body)
         return reply
     finally:
-        largeanswers.settle_answer(ports.answers, head, promised, reply)
+        largeanswers.settle_answer(answers, head, promised, reply)
 
 
 def _estimate_answer_time(ports, head) -> float:
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -157,9 +157,7 @@
         body = await self._read_body(request, head, current)
         # A long body may arrive when there is no time left to run the request.
         self._check_not_stopping()
-        outcome = await commands.route_request(
-            context.ports, current, head, uploads.Upload(body)
-        )
+        outcome = await self._route(current, head, uploads.Upload(body))
         context.audit.record_outcome(
             head, outcome, context.ports.clock() - started
         )
@@ -183,6 +181,25 @@
                     outcome.retry_after_s,
                 )
 
+    async def _route(self, current, head, upload):
+        """Route a request unless its answer could not leave in time."""
+        ports, answers = self._context.ports, self._context.answers
+        if answers is None:
+            return await commands.route_request(ports, current, head, upload)
+        promised = await largeanswers.promise_answer(
+            answers, head, ports.clock()
+        )
+        if isinstance(promised, requests.Refusal):
+            return promised
+        outcome = None
+        try:
+            outcome = await commands.route_request(
+                ports, current, head, upload
+            )
+            return outcome
+        finally:
+            largeanswers.settle_answer(answers, head, promised, outcome)
+
     async def _pace_reply(self, head, reply):
         """Return a reply once the line has room for its first bytes.
 
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -250,7 +250,6 @@
         if node_settings.line_mbps:
             self._line = line.Line(node_settings.line_mbps, self._metrics)
             self._answers = largeanswers.Ports(self._line)
-        self._links.answers = self._answers
 
     def _build_state(self) -> None:
         node_settings = self._settings
@@ -307,7 +306,10 @@
         async def host_request(head, body):
             return await hosting.host_request(hosting_ports, head, body)
 
-        self._links.host_request = host_request
+        async def host_locally(head, body):
+            return await hosting.host_request(hosting_ports, head, body, True)
+
+        self._links.host_request = host_locally
         self._bodies = bodies.Ports(hosting_ports, self._intake)
         query_handler = hostedqueries.QueryHandler(
             self._lease,
--- a/test/test_pacedreplies.py
+++ b/test/test_pacedreplies.py
@@ -1,10 +1,21 @@
 """Large replies to callers, written in parts that the line grants."""
 
 import asyncio
+import dataclasses
+import math
+import types
 
 import pytest
 
+from sesamejunction.border import hostedmetrics
 from sesamejunction.border import pipelinedhttp
+from sesamejunction.commands import largeanswers
+from sesamejunction.commands import wholebodies
+from sesamejunction.decisions import linebudget
+from sesamejunction.model import requests
+from sesamejunction.platform import frontend
+from sesamejunction.tasks import line
+from test import requestfakes
 from test import test_pipelinedhttp as plain
 
 LARGE = b'x' * (1 << 20)
@@ -133,3 +144,58 @@
     assert len(line.open) == 1
     assert sum(line.granted) < 30 * len(LARGE)
     writer.transport.abort()
+
+
+# Rows: size of earlier answers of the route and of this one, whether the
+# request is routed, and the deadline of the reply's parts, if it has any.
+ENTRIES = {
+    'nothing known': (0, 90_000, True, 9.0),
+    'expected': (90_000, 90_000, True, 9.0),
+    'turns out small': (90_000, 100, True, math.inf),
+    'one turn': (20_000, 20_000, True, math.inf),
+    'cannot leave': (12_000_000, 90_000, False, None),
+}
+
+
+# Guards against requests sent to another node although their answers cannot
+# leave this one, and against answers that stay counted.
+@pytest.mark.parametrize(
+    ('known', 'size', 'is_routed', 'deadline'), ENTRIES.values(), ids=ENTRIES
+)
+async def test_answer_is_admitted_where_it_began(
+    known, size, is_routed, deadline, monkeypatch
+):
+    answer = wholebodies.build_answer(200, (), bytes(size))
+    routed = []
+
+    async def route(*_):
+        routed.append(task.held_bytes)
+        return answer
+
+    monkeypatch.setattr(frontend.commands, 'route_request', route)
+    task = line.Line(10.0, hostedmetrics.HostedMetrics(), clock=lambda: 0.0)
+    running = asyncio.ensure_future(task.run())
+    answers = largeanswers.Ports(task)
+    if known:
+        answers.sizes.record('', known)
+    ports = types.SimpleNamespace(clock=lambda: 0.0)
+    front = frontend.Frontend(
+        frontend.FrontendContext(
+            *(ports, None, 's', None, None), answers=answers
+        )
+    )
+    head = dataclasses.replace(requestfakes.HEAD, deadline=9.0)
+    outcome = await front._route(None, head, None)
+    assert routed == ([known] if is_routed else [])
+    if not is_routed:
+        assert outcome.outcome is requests.Outcome.NOT_RUN
+        assert outcome.code is requests.Code.OVERLOADED
+    else:
+        body = await wholebodies.read_answer(outcome)
+        reply = pipelinedhttp.CallerReply(200, (), body)
+        if size >= linebudget.LARGE_ANSWER_BYTES:
+            reply = await front._pace_reply(head, reply)
+        assert (reply.body, reply.deadline) == (body, deadline)
+    await asyncio.sleep(0)
+    assert not (task.held_bytes or task.open_answers)
+    running.cancel()
