--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -33,6 +33,7 @@
     return linking.Work(
         *_list_head_fields(number, head, now),
         *(body, head.repeat_share, head.standing.value),
+        takes_parts=True,
     )
 
 
@@ -41,6 +42,7 @@
     return linking.WorkOffer(
         *_list_head_fields(number, head, now),
         *(size, head.repeat_share, head.standing.value),
+        takes_parts=True,
     )
 
 
@@ -97,14 +99,8 @@
 
 async def encode_reply(number, reply):
     """Return the frame of an answer or a refusal."""
-    load = reply.load
-    load_fields = load and (
-        load.in_flight,
-        load.queued,
-        load.limit,
-        load.latency_s,
-    )
-    work_s = load and load.work_s
+    load_fields = _list_load_fields(reply.load)
+    work_s = reply.load and reply.load.work_s
     match reply:
         case requests.Answer():
             body = await wholebodies.read_answer(reply)
@@ -126,6 +122,40 @@
             )
 
 
+def _list_load_fields(load: requests.Load | None):
+    return load and (
+        load.in_flight,
+        load.queued,
+        load.limit,
+        load.latency_s,
+    )
+
+
+def encode_answer_head(
+    exchange: int, answer: requests.Answer, held: int, size: int
+) -> linking.AnswerHead:
+    """Return the head of an answer whose body is held as number ``held``."""
+    return linking.AnswerHead(
+        exchange,
+        answer.status,
+        answer.headers,
+        _list_load_fields(answer.load),
+        held,
+        size,
+        answer.load and answer.load.work_s,
+    )
+
+
+def decode_answer_head(frame: linking.AnswerHead, body) -> requests.Answer:
+    """Return the answer with the body that was fetched."""
+    return wholebodies.build_answer(
+        frame.status,
+        frame.headers,
+        body,
+        frame.load and requests.Load(*frame.load, frame.work_s),
+    )
+
+
 def decode_reply(frame) -> requests.Answer | requests.Refusal:
     """Return the answer or refusal of a frame.
 
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 
+from sesamejunction.commands import largeanswers
 from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import calleehealth
 from sesamejunction.decisions import concurrencylimit
@@ -108,7 +109,8 @@
     """Dependencies, and ``misses``, the count of consecutive missing answers.
 
     ``holdings`` is a HoldingsView, ``lines`` a logger that limits the rate of
-    its messages. ``clock`` returns boot-clock seconds.
+    its messages. ``clock`` returns boot-clock seconds. ``answers`` counts
+    large answers on the line; it is None if the line's speed is unknown.
     """
 
     states: porting.StateView
@@ -121,17 +123,23 @@
     clock: object
     misses: int = 0
     open_runs: OpenRuns = dataclasses.field(default_factory=OpenRuns)
+    answers: largeanswers.Ports | None = None
 
 
 async def host_request(
-    ports: Ports, head: requests.Head, body: bytes
+    ports: Ports, head: requests.Head, body: bytes, is_local: bool = False
 ) -> requests.Answer | requests.Refusal:
-    """Run a request at the local target; returns Answer or Refusal."""
+    """Run a request at the local target; returns Answer or Refusal.
+
+    ``is_local`` is set for a request that began at this node, which has
+    promised its answer to the line already.
+    """
     refusal = find_key_refusal(ports, head) or _find_callee_refusal(
         ports, head, is_counted=True
     )
     if refusal is None:
-        reply = await _run_with_permit(ports, head, body)
+        answers = None if is_local else ports.answers
+        reply = await _run_with_permit(ports, answers, head, body)
     else:
         reply = dataclasses.replace(refusal, load=ports.scheduler.load)
     ports.metrics.target_requests.inc(describe_reply(reply))
@@ -181,6 +189,12 @@
     )
     if refusal is not None:
         return gating.AdmissionEstimate(refusal, 0.0)
+    if ports.answers is not None:
+        refusal = await largeanswers.find_refusal(
+            ports.answers, head, _estimate_answer_time(ports, head)
+        )
+        if refusal is not None:
+            return gating.AdmissionEstimate(refusal, 0.0)
     return await ports.scheduler.ask(gating.CheckAdmission(head))
 
 
@@ -254,8 +268,30 @@
     )
 
 
-async def _run_with_permit(ports, head, body):
+async def _run_with_permit(ports, answers, head, body):
     """Acquire a permit, send the request and release the permit."""
+    if answers is None:
+        return await _admit_and_send(ports, head, body)
+    # The line is asked first: an answer that cannot leave needs no permit.
+    promised = await largeanswers.promise_answer(
+        answers, head, _estimate_answer_time(ports, head)
+    )
+    if isinstance(promised, requests.Refusal):
+        return dataclasses.replace(promised, load=ports.scheduler.load)
+    reply = None
+    try:
+        reply = await _admit_and_send(ports, head, body)
+        return reply
+    finally:
+        largeanswers.settle_answer(answers, head, promised, reply)
+
+
+def _estimate_answer_time(ports, head) -> float:
+    """Return the earliest boot-clock time of the answer to a request."""
+    return ports.clock() + ports.scheduler.estimate_min_time(head.route)
+
+
+async def _admit_and_send(ports, head, body):
     report = SendReport()
     try:
         permit = await _acquire_permit(ports, head)
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -51,12 +51,14 @@
     """A request with its body.
 
     ``repeat_share`` as in requests.Head, ``standing`` the value of a
-    requests.Standing; earlier versions do not send them.
+    requests.Standing; earlier versions do not send them. ``takes_parts`` is
+    set if the sender accepts AnswerHead as the reply.
     """
 
     body: bytes
     repeat_share: float = 0.0
     standing: int = 0
+    takes_parts: bool = False
 
 
 class WorkAnswer(Frame, tag=3):
@@ -149,12 +151,13 @@
 
     It has its own tag so that a node of an earlier version closes the
     connection instead of running the request without a body.
-    ``repeat_share`` and ``standing`` as in Work.
+    ``repeat_share``, ``standing`` and ``takes_parts`` as in Work.
     """
 
     size: int
     repeat_share: float = 0.0
     standing: int = 0
+    takes_parts: bool = False
 
 
 class AskPart(Frame, tag=16):
@@ -220,6 +223,44 @@
     slots: int
 
 
+class AnswerHead(Frame, tag=22):
+    """The target's answer without its body of ``size`` bytes.
+
+    The body is held under ``number`` and sent in parts on request. ``load``
+    and ``work_s`` as in WorkAnswer.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    load: tuple[int, int, int, float] | None
+    number: int
+    size: int
+    work_s: float | None = None
+
+
+class AskAnswerPart(Frame, tag=23):
+    """Requests ``size`` bytes of a held answer from ``start`` on.
+
+    It is sent on the connection for large bodies, as the following frames.
+    """
+
+    number: int
+    start: int
+    size: int
+
+
+class AnswerPart(Frame, tag=24):
+    """Answers AskAnswerPart; empty if the answer is not held any more."""
+
+    data: bytes
+
+
+class DropAnswer(Frame, tag=25):
+    """Tells that a held answer has arrived or is not needed any more."""
+
+    number: int
+
+
 FRAMES = (
     Hello
     | Work
@@ -242,6 +283,10 @@
     | NewsReply
     | WaitQuestion
     | WaitReply
+    | AnswerHead
+    | AskAnswerPart
+    | AnswerPart
+    | DropAnswer
 )
 REPLIES = (
     WorkAnswer,
@@ -252,4 +297,6 @@
     NewsReply,
     WaitReply,
     Pong,
+    AnswerHead,
+    AnswerPart,
 )
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -7,9 +7,11 @@
 
 from sesamejunction.border import pipelinedhttp
 from sesamejunction.commands import hosting
+from sesamejunction.commands import largeanswers
 from sesamejunction.commands import requests as commands
 from sesamejunction.commands import uploads
 from sesamejunction.commands import wholebodies
+from sesamejunction.decisions import linebudget
 from sesamejunction.decisions import routing as deciding
 from sesamejunction.decisions import workorder
 from sesamejunction import errors
@@ -44,7 +46,7 @@
     ``service`` is that of the target on this instance, ``open_runs`` its
     present work. ``audit`` records outcomes and refusals. Caller keys are
     trusted for ``key_trust_s`` after the declarations were last known to be
-    current.
+    current. ``answers`` paces large answers; None writes them at once.
     """
 
     ports: commands.Ports
@@ -53,6 +55,7 @@
     audit: object
     open_runs: hosting.OpenRuns
     key_trust_s: float = bounds.Bounds().key_trust_s
+    answers: largeanswers.Ports | None = None
 
 
 class RequestRefused(Exception):
@@ -103,6 +106,7 @@
 
     def build_server(self) -> pipelinedhttp.CallerServer:
         """Return the server; closing a connection cancels its requests."""
+        answers = self._context.answers
         return pipelinedhttp.CallerServer(
             pipelinedhttp.ServerPorts(
                 self.handle,
@@ -110,6 +114,7 @@
                 lambda: self.stopping,
                 lambda: self._context.ports.states.current.limits.head_bytes,
                 self._context.ports.clock,
+                line=answers and largeanswers.CallerLine(answers),
             )
         )
 
@@ -154,9 +159,7 @@
         body = await self._read_body(request, head, current)
         # A long body may arrive when there is no time left to run the request.
         self._check_not_stopping()
-        outcome = await commands.route_request(
-            context.ports, current, head, uploads.Upload(body)
-        )
+        outcome = await self._route(current, head, uploads.Upload(body))
         if head.standing is requests.Standing.BEGUN:
             context.open_runs.record_call(
                 head.service, outcome, context.ports.clock()
@@ -167,9 +170,15 @@
         match outcome:
             case requests.Answer():
                 answer_body = await wholebodies.read_answer(outcome)
-                return build_reply(
+                reply = build_reply(
                     outcome.status, answer_body, outcome.headers
                 )
+                if (
+                    context.answers is None
+                    or len(answer_body) < linebudget.LARGE_ANSWER_BYTES
+                ):
+                    return reply
+                return await self._pace_reply(head, reply)
             case requests.Refusal():
                 return build_reply(
                     find_status(outcome),
@@ -178,6 +187,48 @@
                     outcome.retry_after_s,
                 )
 
+    async def _route(self, current, head, upload):
+        """Route a request unless its answer could not leave in time."""
+        ports, answers = self._context.ports, self._context.answers
+        if answers is None:
+            return await commands.route_request(ports, current, head, upload)
+        promised = await largeanswers.promise_answer(
+            answers, head, ports.clock()
+        )
+        if isinstance(promised, requests.Refusal):
+            return promised
+        outcome = None
+        try:
+            outcome = await commands.route_request(
+                ports, current, head, upload
+            )
+            return outcome
+        finally:
+            largeanswers.settle_answer(answers, head, promised, outcome)
+
+    async def _pace_reply(self, head, reply):
+        """Return a reply once the line has room for its first bytes.
+
+        The parts of larger ones wait for their turns at the connection.
+        """
+        size = len(reply.body)
+        if size >= pipelinedhttp.LARGE_REPLY_BYTES:
+            return dataclasses.replace(
+                reply, rank=head.rank, deadline=head.deadline
+            )
+        answers = self._context.answers
+        try:
+            with largeanswers.count(answers, head, size) as counted:
+                await largeanswers.wait_for_turn(
+                    answers, size, head.rank, head.deadline, counted.number
+                )
+        except asyncio.CancelledError:
+            # At the end of a planned stop the answer goes out at once.
+            if not self._context.ports.stop.is_over:
+                raise
+            asyncio.current_task().uncancel()
+        return reply
+
     def _check_not_stopping(self) -> None:
         if self.refusing:
             raise RequestRefused(503, 'the node stops; come back', RESTART_S)
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -17,6 +17,7 @@
 from sesamejunction.model import requests
 from sesamejunction.tasks import clock
 from sesamejunction.tasks import connector
+from sesamejunction.tasks import incominganswer
 from sesamejunction.tasks import link as linkage
 from sesamejunction.tasks import outgoingbody
 
@@ -136,6 +137,7 @@
         self._logger = logs.ThrottledLogger()
         self._connecting = {}
         self.secret = b''
+        self._part_turns = incominganswer.PartTurns()
         self.host_request = None
         self.answer_locally = None
 
@@ -205,9 +207,27 @@
             frame = await finish_exchange(exchange)
         else:
             frame = await self._send_large(member, exchange, body)
+        if isinstance(frame, linking.AnswerHead):
+            return await self._fetch_answer(member, frame, now)
         self._metrics.observe('hop_seconds', clock.read_boot_clock() - now)
         return linkcodec.decode_reply(frame)
 
+    async def _fetch_answer(self, member, frame, started):
+        """Fetch the body of a large answer.
+
+        An answer that the target has made is fetched also after the deadline.
+        """
+        fetcher = incominganswer.AnswerFetcher(
+            frame,
+            member.incarnation,
+            self._part_turns,
+            lambda: self._connect(member, True, CONNECT_WAIT_S),
+        )
+        body = await fetcher.fetch()
+        taken_s = clock.read_boot_clock() - started
+        self._metrics.observe('hop_seconds', taken_s)
+        return linkcodec.decode_answer_head(frame, body)
+
     async def _send_large(self, member, exchange, body):
         """Offer a body and send its parts as the member requests them."""
         link, number, head = exchange.link, exchange.number, exchange.head
