--- a/test/test_retrybudget.py
+++ b/test/test_retrybudget.py
@@ -312,7 +312,7 @@
 
 
 # Guards against a repeat that its target's node takes for a first attempt.
-# The second row is a frame of an earlier version, which has no such field.
+# The last row is a frame of an earlier version, which has no such field.
 @pytest.mark.parametrize(
     ('lacking', 'share'), [(0, 0.25), (1, 0.25), (2, 0.25), (3, 0.0)]
 )
