Count starts that are not answered in time as waits that were too long

At a target with requests without an objective (test_scheduler.Server), 2055 to 2797 requests started and 0.47 to 0.67 of them were answered by their deadline: the waits that were too long ended in a start, so the wait factor stayed at its least. They count now, where there are no organisations: 1149 to 1989 start and 0.78 to 0.92 of them are answered, 0 to 8% fewer in number. With organisations the change made one row of test_few_queued_requests_are_refused_late miss its bound (0.342 s instead of 0.3375 s), so it is not made there.

Changed test: its mean of the times of late refusals is checked only if there are any, since a row now has none; new is the bound on starts that are lost.

--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -392,6 +392,8 @@
         started_request = self._running.pop(finished.request_id, None)
         if started_request is not None and finished.latency_s is not None:
             self._times.record(started_request[0].route, finished.latency_s)
+        elif started_request is not None:
+            self._count_lost(*started_request)
         if finished.shed:
             self._logger.log_message(
                 'gate: target refused request',
@@ -401,6 +403,20 @@
             )
         self._start_waiting()
 
+    def _count_lost(self, pending_request, started) -> None:
+        """Count a wait that left too little time for the answer.
+
+        Between organisations, waits differ too much for this: more of the
+        waiting requests would be refused late.
+        """
+        has_waited = pending_request.reply is not None
+        if (
+            has_waited
+            and not self._state.organisations
+            and self._clock() >= pending_request.deadline
+        ):
+            self._wait_factors[pending_request.lane].count_expiry()
+
 
 class StartWaiting:
     """Sent by a timer when a cold target may take another request."""
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import heapq
+import math
 import random
 
 import pytest
@@ -205,6 +206,7 @@
     rate, small, mean_s, organisations
 ):
     made, clock = await make_scheduler(Server.SLOTS, organisations)
+    mean_work_s = mean_s
     server = Server(made, clock, rate, small, mean_s)
     await server.run(60.0)
     # Nine of ten requests that are queued are served, and the target is not
@@ -217,8 +219,14 @@
     # their deadline, and well before three quarters of their time, which count
     # as all of it.
     assert len(server.held) <= 0.01 * server.started
-    mean_s = sum(server.refused_after) / len(server.refused_after)
-    assert mean_s <= 0.75 * Server.LEFT_S
+    if server.refused_after:
+        mean_s = sum(server.refused_after) / len(server.refused_after)
+        assert mean_s <= 0.75 * Server.LEFT_S
+    if not organisations:
+        # A request that starts with too little time left is lost. Nine of
+        # ten that an idle target would answer in time are answered.
+        at_best = 1 - math.exp(-Server.LEFT_S / mean_work_s)
+        assert server.in_time >= 0.9 * at_best * server.started
 
 
 TIMES = scheduling.ServiceTimes()
