--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -18,7 +18,7 @@
 from sesamejunction.model import timing
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
-from sesamejunction.tasks import overload
+from sesamejunction.tasks import gaterefusals
 
 # Time after which new requests to a leaving target are refused; the platform
 # allows 2 s.
@@ -26,7 +26,6 @@
 # After a refused connection the target may have restarted, so it is treated as
 # cold for this time.
 SUSPECTED_COLD_S = 1.2
-RETRY_AFTER_S = 0.1
 # A node that is replaced finishes its requests and restarts within about this
 # time; after that the keys of its target are served again.
 RESTART_S = 1.0
@@ -201,27 +200,10 @@
 
     def _find_status_refusal(self, now) -> requests.Refusal | None:
         """Return a refusal if the target is absent, leaving or out."""
-        target_status = self._target_status
-        if target_status.life is None:
-            return refuse(
-                requests.Code.NO_TARGET,
-                'the target is absent; retry',
-                retry_after_s=RETRY_AFTER_S,
-            )
-        leaving, out = target_status.leaving_since, target_status.out_since
-        if leaving is not None and now - leaving >= self._leave_grace_s:
-            return refuse(
-                requests.Code.STOPPING,
-                'the target leaves; retry',
-                retry_after_s=RETRY_AFTER_S,
-            )
-        if out is not None and now - out >= self._zone_grace_s:
-            return refuse(
-                requests.Code.ZONE_OUT,
-                'the availability zone is out of service; retry',
-                retry_after_s=RETRY_AFTER_S,
-            )
-        return None
+        return gaterefusals.find_status_refusal(
+            *(self._target_status, now),
+            *(self._leave_grace_s, self._zone_grace_s),
+        )
 
     def _find_start_delay(self, now) -> float:
         """Return the seconds until a request may start, inf if full."""
@@ -266,7 +248,7 @@
         )
 
     def _refuse_wait(self, pending_request, message, wait_s, now, inputs):
-        refusal = overload.refuse_wait(
+        refusal = gaterefusals.refuse_wait(
             pending_request, message, wait_s, now, inputs
         )
         self._logger.log_message(
@@ -301,10 +283,9 @@
             self._refuse_overdue(overdue, now)
 
     def _refuse_displaced(self, now) -> None:
-        """Refuse the last of the queue if a new request makes them late.
+        """Refuse the last of each lane if a new request makes it late.
 
-        Only one of each lane is checked, which is cheap; the next review
-        finds the others.
+        This is cheap; the next review finds the others.
         """
         cold_rate = self._find_cold_rate(now)
         for last in self._queue.list_last():
@@ -363,7 +344,7 @@
                     refuse(
                         requests.Code.DEADLINE,
                         'too little time is left to run it',
-                        retry_after_s=RETRY_AFTER_S,
+                        retry_after_s=gaterefusals.RETRY_AFTER_S,
                         inputs=(('least_s', round(min_time_s, 3)),),
                     )
                 )
@@ -406,15 +387,11 @@
     def _count_lost(self, pending_request, started) -> None:
         """Count a wait that left too little time for the answer.
 
-        Between organisations, waits differ too much for this: more of the
-        waiting requests would be refused late.
+        Between organisations it would make more refusals late.
         """
-        has_waited = pending_request.reply is not None
-        if (
-            has_waited
-            and not self._state.organisations
-            and self._clock() >= pending_request.deadline
-        ):
+        if pending_request.reply is None or self._state.organisations:
+            return
+        if self._clock() >= pending_request.deadline:
             self._wait_factors[pending_request.lane].count_expiry()
 
 
