Tests: compare the order of work with simpler orders in the same queue

The simpler orders had a queue of their own, written for the test. They now are the scheduler with requests of which it knows less, and without shares.

--- a/test/test_workorder.py
+++ b/test/test_workorder.py
@@ -4,7 +4,6 @@
 own queue and with simpler orders in its place.
 """
 
-import bisect
 import dataclasses
 import heapq
 import math
@@ -12,7 +11,6 @@
 
 import pytest
 
-from sesamejunction.decisions import scheduling
 from sesamejunction.decisions import workorder
 from sesamejunction.model import gating
 from sesamejunction.model import leasing
@@ -43,49 +41,28 @@
     standing: STANDING = STANDING.NEW
 
 
-class SimpleQueue(workorder.WorkQueue):
-    """Queue in the order of one key, without lanes or shares."""
-
-    def __init__(self, times, key):
-        super().__init__(times)
-        self._key = key
-        self._sorted = []
-
-    def push(self, pending_request, now):
-        self._last_number += 1
-        entry = (*self._key(pending_request), self._last_number)
-        bisect.insort(self._sorted, (entry, pending_request))
-        self._tickets[pending_request.request_id] = entry
-
-    def pop(self, now):
-        _, pending_request = self._sorted.pop(0)
-        del self._tickets[pending_request.request_id]
-        return pending_request
-
-    def remove(self, request_id):
-        entry = self._tickets.pop(request_id, None)
-        if entry is None:
-            return None
-        index = bisect.bisect_left(self._sorted, (entry,))
-        return self._sorted.pop(index)[1]
-
-    def list_waiting(self, now):
-        return [pending_request for _, pending_request in self._sorted]
+# What the simpler orders know of a request. The objective only orders those
+# of one rank here: by arrival if it is infinite.
+KNOWN = {
+    'first come': lambda one: {'rank': 0, 'objective': math.inf},
+    'rank': lambda one: {'objective': math.inf},
+    'deadline': lambda one: {'rank': 0, 'objective': one.deadline + 1e6},
+}
 
-    def list_last(self):
-        return []
 
-    def measure_ahead(self, pending_request, now):
-        entry = (*self._key(pending_request), math.inf)
-        ahead = bisect.bisect_left(self._sorted, (entry,))
-        return scheduling.Ahead(ahead, ahead * self._times.mean)
+class SimpleScheduler(scheduler.Scheduler):
+    """Scheduler with a simpler order, in which no rank keeps a share."""
 
+    def __init__(self, order, *args):
+        super().__init__(*args)
+        self._order = order
+        self._queue.add_arrival = lambda _: None
 
-ORDERS = {
-    'first come': lambda _: (),
-    'rank': lambda one: (one.rank,),
-    'deadline': lambda one: (one.deadline,),
-}
+    def _build_pending_request(self, head):
+        known = super()._build_pending_request(head)
+        return dataclasses.replace(
+            known, standing=STANDING.NEW, **KNOWN[self._order](known)
+        )
 
 
 class Model:
@@ -98,9 +75,11 @@
         self._slots = slots
         self._slowness = slowness
         holdings = type('Holdings', (), {'rows': ()})
-        self._made = scheduler.Scheduler('s', holdings, lambda: self.now)
-        if order is not None:
-            self._made._queue = SimpleQueue(self._made._times, ORDERS[order])
+        arguments = 's', holdings, lambda: self.now
+        if order is None:
+            self._made = scheduler.Scheduler(*arguments)
+        else:
+            self._made = SimpleScheduler(order, *arguments)
         self._events = []
         self._number = 0
         self._waiting = {}
@@ -249,7 +228,7 @@
 async def test_value_of_the_order_of_work(kinds, slots, slowness):
     played = {
         order: await Model(kinds, slots, order, slowness).play()
-        for order in (None, *ORDERS)
+        for order in (None, *KNOWN)
     }
     for order, model in played.items():
         served = model.rate_kinds(model.served)
