--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -246,7 +246,7 @@
         requests.Code.OVERLOADED,
         'a service that it needs has no room; retry later',
         retry_after_s=workorder.choose_retry_delay(
-            calleehealth.AVERAGE_S, head.deadline - now, head.request_id
+            calleehealth.RETURN_S, head.deadline - now, head.request_id
         ),
         inputs=inputs,
     )
--- a/sesamejunction/decisions/calleehealth.py
+++ b/sesamejunction/decisions/calleehealth.py
@@ -21,6 +21,9 @@
 # interval, to find out whether there is room again.
 MIN_STARTED = 0.1
 PROBE_INTERVAL_S = 0.25
+# Refused callers come back within this time. After longer delays more of them
+# miss their objective (docs/design/order-of-work).
+RETURN_S = 0.15
 # A share without new outcomes is forgotten after this time.
 FORGET_S = 3.0
 # A route needs a service if its runs make at least so many calls to it, and
