--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -22,7 +22,7 @@
 from sesamejunction.model import timing
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
-from sesamejunction.tasks import overload
+from sesamejunction.tasks import gaterefusals
 
 # Time after which new requests to a leaving target are refused; the platform
 # allows 2 s.
@@ -30,7 +30,6 @@
 # After a refused connection the target may have restarted, so it is treated as
 # cold for this time.
 SUSPECTED_COLD_S = 1.2
-RETRY_AFTER_S = 0.1
 # A node that is replaced finishes its requests and restarts within about this
 # time; after that the keys of its target are served again.
 RESTART_S = 1.0
@@ -236,27 +235,10 @@
 
     def _find_status_refusal(self, now) -> requests.Refusal | None:
         """Return a refusal if the target is absent, leaving or out."""
-        target_status = self._target_status
-        if target_status.life is None:
-            return refuse(
-                requests.Code.NO_TARGET,
-                'the target is absent; retry',
-                retry_after_s=RETRY_AFTER_S,
-            )
-        leaving, out = target_status.leaving_since, target_status.out_since
-        if leaving is not None and now - leaving >= self._leave_grace_s:
-            return refuse(
-                requests.Code.STOPPING,
-                'the target leaves; retry',
-                retry_after_s=RETRY_AFTER_S,
-            )
-        if out is not None and now - out >= self._zone_grace_s:
-            return refuse(
-                requests.Code.ZONE_OUT,
-                'the availability zone is out of service; retry',
-                retry_after_s=RETRY_AFTER_S,
-            )
-        return None
+        return gaterefusals.find_status_refusal(
+            *(self._target_status, now),
+            *(self._leave_grace_s, self._zone_grace_s),
+        )
 
     @property
     def limit(self) -> int:
@@ -322,7 +304,7 @@
         )
 
     def _refuse_wait(self, pending_request, message, wait_s, now, inputs):
-        refusal = overload.refuse_wait(
+        refusal = gaterefusals.refuse_wait(
             pending_request, message, wait_s, now, inputs
         )
         self._logger.log_message(
@@ -357,10 +339,9 @@
             self._refuse_overdue(overdue, now)
 
     def _refuse_displaced(self, now) -> None:
-        """Refuse the last of the queue if a new request makes them late.
+        """Refuse the last of each lane if a new request makes it late.
 
-        Only one of each lane is checked, which is cheap; the next review
-        finds the others.
+        This is cheap; the next review finds the others.
         """
         cold_rate = self._find_cold_rate(now)
         for last in self._queue.list_last():
@@ -422,7 +403,7 @@
                     refuse(
                         requests.Code.DEADLINE,
                         'too little time is left to run it',
-                        retry_after_s=RETRY_AFTER_S,
+                        retry_after_s=gaterefusals.RETRY_AFTER_S,
                         inputs=(('least_s', round(min_time_s, 3)),),
                     )
                 )
@@ -458,6 +439,8 @@
             self._times.record(
                 started_request[0].route, finished.latency_s, slowness
             )
+        elif started_request is not None:
+            self._count_lost(started_request[0])
         if finished.shed:
             self._logger.log_message(
                 'gate: target refused request',
@@ -491,6 +474,16 @@
                 refused=finished.shed,
             )
 
+    def _count_lost(self, pending_request) -> None:
+        """Count a wait that left too little time for the answer.
+
+        Between organisations it would make more refusals late.
+        """
+        if pending_request.reply is None or self._state.organisations:
+            return
+        if self._clock() >= pending_request.deadline:
+            self._wait_factors[pending_request.lane].count_expiry()
+
 
 class StartWaiting:
     """Sent by a timer when a cold target may take another request."""
