--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -162,9 +162,14 @@
     finally:
         ports.scheduler.tell_reliably(
             gating.WorkFinished(
-                *(head.request_id, report.taken_s, report.shed),
-                *(report.slowness, report.is_dropped),
-                _find_occupied_until(ports, head, report),
+                head.request_id,
+                report.taken_s,
+                report.shed,
+                report.slowness,
+                report.is_dropped,
+                0.0
+                if report.has_ended or report.started is None
+                else _find_occupied_until(ports, head, report),
             )
         )
 
@@ -226,8 +231,6 @@
 
 def _find_occupied_until(ports, head, report) -> float:
     """Return until when the target may run a request that was given up."""
-    if report.started is None or report.has_ended:
-        return 0.0
     return concurrencylimit.find_occupied_until(
         *(report.expected_s, report.started, ports.clock()),
         *(head.deadline, report.is_dropped),
@@ -286,8 +289,9 @@
         return dataclasses.replace(reply, load=ports.scheduler.load)
     report.taken_s = ports.clock() - started
     ports.metrics.observe('target_seconds', report.taken_s)
-    beyond_s = max(0.0, report.taken_s - report.expected_s)
-    ports.metrics.observe('beyond_expected_seconds', beyond_s)
+    if report.slowness is not None:
+        beyond_s = max(0.0, report.taken_s - report.expected_s)
+        ports.metrics.observe('beyond_expected_seconds', beyond_s)
     return dataclasses.replace(reply, load=ports.scheduler.load)
 
 
--- a/sesamejunction/decisions/concurrencylimit.py
+++ b/sesamejunction/decisions/concurrencylimit.py
@@ -37,6 +37,11 @@
         self._raise = RAISE
         self._sign_at = -math.inf
 
+    @property
+    def is_learnt(self) -> bool:
+        """Return whether there is a limit below the slots."""
+        return self.value < math.inf
+
     def find(self, slots: int) -> int:
         """Return how many requests the target may get at once."""
         return slots if self.value >= slots else int(self.value)
--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -64,12 +64,15 @@
         self._value = 1.0
         self._average = 1.0
         self.reported_at = float('-inf')
+        # Whether the target has ever reported its slowness.
+        self.is_known = False
 
     def report(self, value: float, now: float) -> None:
         """Store a report that has just arrived."""
         self._average = self.find_average(now)
         self._value = value
         self.reported_at = now
+        self.is_known = True
 
     def find_average(self, now: float) -> float:
         """Return the average over some seconds; no news counts as 1."""
@@ -80,11 +83,6 @@
         average = _approach(self._average, self._value, known_s)
         return _approach(average, 1.0, passed_s - known_s)
 
-    @property
-    def is_known(self) -> bool:
-        """Return whether the target has ever reported its slowness."""
-        return self.reported_at > float('-inf')
-
     def find(self, now: float) -> float:
         """Return the present factor, 1 without recent news."""
         if now - self.reported_at > SLOWNESS_MAX_AGE_S:
@@ -131,12 +129,18 @@
 
     def expect(self, route: str) -> float:
         """Return the service time of a request of a route expected now."""
-        return self._times.get(route, self._mean) * self.slowness
+        expected_s = self._times.get(route, self._mean)
+        # Most targets report no speed, and this is asked for each request.
+        if self._slowness.is_known:
+            expected_s *= self._slowness.find(self._clock())
+        return expected_s
 
     @property
     def mean(self) -> float:
         """Return the average over all routes, as expected now."""
-        return self._mean * self.slowness
+        if not self._slowness.is_known:
+            return self._mean
+        return self._mean * self._slowness.find(self._clock())
 
     @property
     def lasting_mean(self) -> float:
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -360,7 +360,9 @@
             )
 
     def _start(self, pending_request, now) -> gating.Admitted:
-        count = len(self._running) + self.abandoned_count + 1
+        count = len(self._running) + 1
+        if self._abandoned_ends:
+            count += self.abandoned_count
         self._running[pending_request.request_id] = pending_request, now, count
         self._cold_window.add(now)
         self._cold_window.count(now)
@@ -414,7 +416,9 @@
             if self._clock() + min_time_s >= waiting.deadline:
                 self._wait_factor.count_expiry()
         started_request = self._running.pop(finished.request_id, None)
-        if started_request is not None:
+        if started_request is not None and (
+            finished.latency_s is None or self._limit.is_learnt
+        ):
             self._learn_limit(finished, started_request[2])
         slowness = finished.slowness
         if slowness is not None:
