Give up a late request only if later ones are answered

A target that stalls as a whole may still answer, and the retry budget may deny another attempt; then giving up early would lose the answer. A late request is now given up once the target has answered one that was sent later.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -58,6 +58,8 @@
 class Ports:
     """Dependencies, and ``misses``, the count of consecutive missing answers.
 
+    ``answered_start`` is when the latest request that was answered had been
+    sent, in boot-clock seconds.
     ``holdings`` is a HoldingsView, ``lines`` a logger that limits the rate of
     its messages. ``clock`` returns boot-clock seconds.
     """
@@ -71,6 +73,7 @@
     metrics: object
     clock: object
     misses: int = 0
+    answered_start: float = 0.0
     open_runs: OpenRuns = dataclasses.field(default_factory=OpenRuns)
 
 
@@ -248,8 +251,9 @@
         report.expected_s, started, head.deadline, head.repeatable
     )
     try:
-        async with asyncio.timeout(max(0.0, give_up - started)):
-            reply = await ports.target.send(head, body)
+        async with asyncio.timeout(head.deadline - started) as limit:
+            with _watch_for_drop(ports, limit, started, give_up, head):
+                reply = await ports.target.send(head, body)
     except errors.PeerConnectionLost as error:
         report.has_ended = True
         report.is_dropped = isinstance(error, errors.TargetClosedUnanswered)
@@ -257,12 +261,15 @@
         return _refuse_as_lost(ports, head, str(error))
     except TimeoutError:
         waited_s = ports.clock() - started
-        late_s = concurrencylimit.find_late_s(report.expected_s)
-        report.is_dropped = waited_s >= late_s
-        _count_miss(ports)
-        return _refuse_as_lost(
-            ports, head, f'no answer within {waited_s:.2f} s'
+        report.is_dropped = (
+            waited_s >= concurrencylimit.find_late_s(report.expected_s)
+            and ports.answered_start > started
         )
+        _count_miss(ports)
+        reason = 'no answer within the deadline'
+        if ports.clock() < head.deadline:
+            reason = f'no answer within {waited_s:.2f} s, others got theirs'
+        return _refuse_as_lost(ports, head, reason)
     except errors.PeerUnavailable as error:
         report.has_ended = True
         if isinstance(error, errors.TargetConnectionRefused):
@@ -274,6 +281,7 @@
             retry_after_s=RETRY_AFTER_S,
         )
     ports.misses = 0
+    ports.answered_start = max(ports.answered_start, started)
     report.has_ended = True
     if reply.report is not None:
         report.slowness = reply.report.slowness
@@ -295,6 +303,49 @@
     return dataclasses.replace(reply, load=ports.scheduler.load)
 
 
+def _watch_for_drop(ports, limit, started, give_up, head):
+    """Return a context that ends ``limit`` early if the target drops it."""
+    if give_up >= head.deadline:
+        return NOT_WATCHED
+    watch = DropWatch(ports, limit, started)
+    watch.schedule(give_up - started)
+    return watch
+
+
+NOT_WATCHED = contextlib.nullcontext()
+
+
+class DropWatch:
+    """Ends a timeout once a late request counts as dropped.
+
+    That is when the target has answered a request that was sent later.
+    """
+
+    def __init__(self, ports, limit: asyncio.Timeout, started: float):
+        self._ports = ports
+        self._limit = limit
+        self._started = started
+        self._timer = None
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_exc):
+        self._timer.cancel()
+
+    def schedule(self, delay_s: float) -> None:
+        """Check after a time."""
+        self._timer = asyncio.get_running_loop().call_later(
+            delay_s, self._check
+        )
+
+    def _check(self) -> None:
+        if self._ports.answered_start > self._started:
+            self._limit.reschedule(asyncio.get_running_loop().time())
+        else:
+            self.schedule(concurrencylimit.RECHECK_S)
+
+
 def _count_miss(ports) -> None:
     ports.misses += 1
     if ports.misses >= MAX_CONSECUTIVE_MISSES:
--- a/sesamejunction/decisions/concurrencylimit.py
+++ b/sesamejunction/decisions/concurrencylimit.py
@@ -24,6 +24,8 @@
 # factor of two, and a slow machine that has not reported it by three.
 LATE_FACTOR = 8.0
 LATE_FLOOR_S = 0.5
+# Interval of checks whether a late request can be given up.
+RECHECK_S = 0.1
 
 
 class ConcurrencyLimit:
@@ -81,7 +83,9 @@
 
     What may not be repeated waits until its deadline: an answer may still
     come, and giving up early would only replace it by an unknown outcome.
-    The same holds if too little time would be left to run elsewhere.
+    The same holds if too little time would be left to run elsewhere. A wait
+    is given up only if the target has answered a later request meanwhile: one
+    that stalls as a whole may still answer.
     """
     if not repeatable:
         return deadline
--- a/test/test_fulltargets.py
+++ b/test/test_fulltargets.py
@@ -146,23 +146,34 @@
 
 
 # Guards against a wait until the deadline for what could run elsewhere, and
-# against an early unknown outcome of what may not be repeated. Columns:
-# whether it is repeatable, its deadline in seconds, when it ends.
+# against an early unknown outcome of what may not be repeated, or might still
+# be answered. Columns: whether it is repeatable, whether others are answered
+# meanwhile, its deadline in seconds, when it ends.
 ENDS = {
-    'repeatable': (True, 3.0, concurrencylimit.LATE_FLOOR_S),
-    'not repeatable': (False, 1.2, 1.2),
-    'no time to run elsewhere': (True, 0.52, 0.52),
+    'repeatable': (True, True, 3.0, concurrencylimit.LATE_FLOOR_S),
+    'not repeatable': (False, True, 1.2, 1.2),
+    'no time to run elsewhere': (True, True, 0.52, 0.52),
+    'the target stalls': (True, False, 1.2, 1.2),
 }
 
 
 @pytest.mark.parametrize('case', ENDS)
 async def test_unanswered_request_ends(case, monkeypatch):
-    repeatable, left_s, ends_s = ENDS[case]
+    repeatable, answers_others, left_s, ends_s = ENDS[case]
     monkeypatch.setattr(f'{__name__}.HOLDS', 0)
     async with run_node('is silent') as (ports, target):
         started = time.monotonic()
         head = rawservers.make_head(left_s=left_s, repeatable=repeatable)
-        reply = await hosting.host_request(ports, head, b'')
+        sending = asyncio.ensure_future(hosting.host_request(ports, head, b''))
+        await asyncio.sleep(0.1)
+        if answers_others:
+            monkeypatch.setattr(f'{__name__}.HOLDS', 1)
+            other = dataclasses.replace(
+                rawservers.make_head('b'), request_id='b'
+            )
+            answer = await hosting.host_request(ports, other, b'')
+            assert isinstance(answer, requests.Answer)
+        reply = await sending
         taken_s = time.monotonic() - started
         assert reply.outcome is requests.Outcome.UNKNOWN
         assert ends_s - 0.01 <= taken_s < ends_s + 0.4
