A deadline that is too near does not make a target suspect

A connection that was given up because of the request's own deadline tells nothing about the target, which would be limited to its cold rate for 1.2 s.

--- a/sesamejunction/border/targetconnections.py
+++ b/sesamejunction/border/targetconnections.py
@@ -417,7 +417,12 @@
             raise errors.TargetConnectionRefused(
                 'the target refuses connections; its process has ended'
             ) from error
-        except (OSError, TimeoutError) as error:
+        except TimeoutError as error:
+            kind = errors.PeerUnavailable
+            if connect_by_s < self._connect_s:
+                kind = errors.TargetNotConnectedInTime
+            raise kind(f'no connection to the target ({error!r})') from error
+        except OSError as error:
             raise errors.PeerUnavailable(
                 f'no connection to the target ({error!r})'
             ) from error
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -274,7 +274,8 @@
         report.has_ended = True
         if isinstance(error, errors.TargetConnectionRefused):
             ports.lease.tell(leasing.TargetUnreachable())
-        ports.scheduler.tell(leasing.TargetUnreachable())
+        if not isinstance(error, errors.TargetNotConnectedInTime):
+            ports.scheduler.tell(leasing.TargetUnreachable())
         return refuse(
             requests.Code.NO_TARGET,
             str(error),
--- a/sesamejunction/errors.py
+++ b/sesamejunction/errors.py
@@ -116,6 +116,13 @@
     """
 
 
+class TargetNotConnectedInTime(PeerUnavailable):
+    """The deadline passed before a connection to the target was made.
+
+    It was too near to tell whether the target accepts connections.
+    """
+
+
 class TargetClosedUnanswered(TargetAnswerLost):
     """The target closed the connection before any byte of an answer.
 
--- a/test/test_notrun.py
+++ b/test/test_notrun.py
@@ -11,6 +11,7 @@
 from sesamejunction.border import targetconnections
 from sesamejunction.commands import hosting
 from sesamejunction.commands import ports as porting
+from sesamejunction.model import leasing
 from sesamejunction.model import requests
 from sesamejunction.platform import serverclient
 from sesamejunction.tasks import clock as clocks
@@ -90,6 +91,8 @@
     reply = await hosting.host_request(ports, head, b'')
     assert reply.outcome is requests.Outcome.NOT_RUN
     assert reply.code is requests.Code.NO_TARGET
+    # It would count as restarted, and get its cold rate only.
+    assert leasing.TargetUnreachable() not in scheduler.told
 
 
 async def test_request_without_time_to_run_is_not_sent():
