--- a/bench/largeanswers.py
+++ b/bench/largeanswers.py
@@ -6,10 +6,14 @@
 
 import asyncio
 import os
+import tracemalloc
 
 import uvloop
 
 from bench import hop
+from sesamejunction.border import hostedmetrics
+from sesamejunction.model import outgoinganswers
+from sesamejunction.tasks import line
 from sesamejunction.ui import invocation
 
 SMALL, *_, LARGE = hop.LOADS
@@ -19,9 +23,9 @@
 def read_memory(pid: int, field: str) -> float:
     """Return a size in /proc/PID/status, such as VmRSS, in MB."""
     with open(f'/proc/{pid}/status', encoding='ascii') as file:
-        for line in file:
-            if line.startswith(field):
-                return int(line.split()[1]) * 1024 / MB
+        for row in file:
+            if row.startswith(field):
+                return int(row.split()[1]) * 1024 / MB
     raise ValueError(f'/proc/{pid}/status has no {field}')
 
 
@@ -55,6 +59,22 @@
     print(f'after the burst: {describe_memory(fleet)}')
 
 
+async def measure_held(count: int) -> None:
+    """Print the memory of one answer that is held for another node."""
+    task = line.Line(10.0, hostedmetrics.HostedMetrics(), 1 << 30)
+    size = len(hop.LARGE_RESPONSE_BODY)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(count):
+        answer = outgoinganswers.ExpectedAnswer(number, size, 1, 9e9)
+        await task.handle(
+            outgoinganswers.HoldAnswer(answer, 1, bytes(bytearray(size)))
+        )
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(f'held answer of {size} bytes: {(after - before) / count:.0f} bytes')
+
+
 async def measure_idle(fleet) -> dict[str, float]:
     """Return the share of a processor that each idle node uses."""
     before = fleet.read_cpu()
@@ -65,6 +85,7 @@
 
 async def measure(line_mbps: str, count: int, burst: int) -> None:
     """Print processor time for each MB, then the result of a burst."""
+    await measure_held(100)
     os.environ['SESAMEJUNCTION_LINE_MBPS'] = line_mbps
     async with hop.Fleet(False) as fleet:
         await fleet.send_many(LARGE, 100, 2)
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -193,9 +193,10 @@
         elif not frame.takes_parts:
             # A node of an earlier version takes it only as one frame.
             size = reply.chunks.size
-            await largeanswers.wait_for_turn(
-                answers, size, head.rank, head.deadline
-            )
+            async with reply.resources:
+                await largeanswers.wait_for_turn(
+                    answers, size, head.rank, head.deadline
+                )
             self.send_frame(await linkcodec.encode_reply(frame.id, reply))
         elif not self.transport.is_closing():
             held = await largeanswers.hold_for_peer(
