--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -108,6 +108,8 @@
         self.process = None
         self.prepared = None
         self.server = None
+        # Further settings of the node, without their prefix.
+        self.settings = {}
 
     @property
     def is_ranged(self):
@@ -140,6 +142,7 @@
             'LOG': self._store_address,
             'METRICS_PORT': str(self.ports['metrics']),
             'LINE_MBPS': '1000',
+            **self.settings,
         }
         with self.log.open('ab') as output:
             self.prepared = await asyncio.create_subprocess_exec(
