Hosted node: limit what all clients hold together

Change: decisions/clientbudget counts heads by the memory of their lines, bodies and unsent answers of all connections. Past half of the limit heavy connections are not read, past three quarters their new requests get 503 before they run, past it the connection closes that has held the most for the longest. Connections are limited by kind and address; idle ones make room. Limits follow SESAMEJUNCTION_MEMORY_MB and SESAMEJUNCTION_MAX_DESCRIPTORS. headerTimeoutS is enforced (408), idle time is idleTimeoutS instead of 75 s, an unread answer is cut after 10 s. The servers of heartbeats, readiness and metrics, and unauthenticated peers, count too. A body is one buffer, freed once it is handed over; a closed connection leaves no reference cycles. pipelinedhttp is split: callerinput reads, callermessages holds the types.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -123,6 +123,10 @@
             'heartbeats_refused_total',
             'Heartbeats that named no usable target, by the odd field',
         )
+        self.clients_refused = self._add_counts(
+            'clients_refused_total',
+            'Clients that were refused or closed, by reason, port, address',
+        )
         self.declarations_unreadable = self._add_counts(
             'declarations_unreadable_total',
             'Parts of configurations that could not be read, by part',
@@ -155,6 +159,9 @@
                 ('hold_margin_seconds', 'Time left of the latest hold'),
                 ('link_sent_bytes', 'Sent to other nodes since the start'),
                 ('link_received_bytes', 'Received from other nodes'),
+                ('clients_connected', 'Connections of clients'),
+                ('clients_held_bytes', 'Memory held for clients'),
+                ('clients_paused', 'Clients that are not read for now'),
             )
         }
 
--- a/sesamejunction/border/hostedsettings.py
+++ b/sesamejunction/border/hostedsettings.py
@@ -8,6 +8,7 @@
 import pydantic_settings
 
 from sesamejunction.border import settings
+from sesamejunction.decisions import clientbudget
 
 SETTINGS_FILE = 'SESAMEJUNCTION_SETTINGS'
 
@@ -90,6 +91,17 @@
         ge=4096,
         description="largest record of the platform's store, in bytes",
     )
+    memory_mb: int = pydantic.Field(
+        default=clientbudget.DEFAULT_MEMORY_MB,
+        ge=64,
+        description='memory of the machine, in MB; limits what clients hold',
+    )
+    max_descriptors: int = pydantic.Field(
+        default=clientbudget.DEFAULT_DESCRIPTORS,
+        ge=128,
+        description='descriptors that the process may open; limits the'
+        ' connections of clients',
+    )
     bounds: str = pydantic.Field(
         default='',
         description='limits of the platform, as NAME=VALUE separated by'
@@ -113,13 +125,15 @@
         """Return 0 for an empty string, which means an unknown speed."""
         return 0.0 if value == '' else value
 
-    @pydantic.field_validator('record_bytes', mode='before')
+    @pydantic.field_validator(
+        'record_bytes', 'memory_mb', 'max_descriptors', mode='before'
+    )
     @classmethod
-    def accept_unknown_size(cls, value):
+    def accept_unknown_size(cls, value, info):
         """Return the default for an empty string."""
-        return (
-            cls.model_fields['record_bytes'].default if value == '' else value
-        )
+        if value == '':
+            return cls.model_fields[info.field_name].default
+        return value
 
     @pydantic.field_validator(
         'callers', 'readiness', 'heartbeats', 'target', 'log'
--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -3,19 +3,20 @@
 import asyncio
 import collections.abc
 import dataclasses
-import http
 
 import eliot
-import httptools
-import multidict
 
+from sesamejunction.border import callerinput
+from sesamejunction.border import callermessages
+from sesamejunction.border import clients
 from sesamejunction.border import httpclient
+from sesamejunction.decisions import clientbudget
 from sesamejunction.decisions import pipelines
-from sesamejunction import errors
+from sesamejunction.model import routing
+
+CallerReply = callermessages.CallerReply
+CallerRequest = callermessages.CallerRequest
 
-# A connection without an open request is closed after this time. Callers
-# reuse connections that were idle for up to 12 s.
-IDLE_TIMEOUT_S = 75.0
 # Bytes of a body that are taken from the caller before its request starts.
 MAX_UNSTARTED_BODY_BYTES = 1 << 16
 # The rest of a body whose request is already answered is read and dropped if
@@ -27,18 +28,14 @@
 # with unread bytes would reset the connection and could destroy the answer.
 LINGER_S = 1.0
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-VERSIONS = ('1.1', '1.0')
-BODILESS_STATUSES = frozenset((204, 304))
-PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CallerReply:
-    """An answer to a caller; lengths and connection fields are added."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes = b''
+# Checks of an unread answer within clients.UNREAD_LIMIT_S.
+UNREAD_CHECKS = 4
+RETRY_AFTER_S = 0.2
+BUSY_REPLY = CallerReply(
+    503,
+    (('Retry-After', f'{RETRY_AFTER_S:.3f}'),),
+    b'the node is busy; nothing has run\n',
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -49,6 +46,8 @@
     ``is_repeatable`` returns whether a CallerRequest may run more than once,
     ``is_stopping`` whether the node stops, ``find_head_limit`` the most bytes
     of a request head. ``clock`` is that of request deadlines.
+    ``find_limits`` returns the routing.Limits with the times of heads and of
+    idle connections. ``clients`` counts what the connections hold.
     """
 
     handle: collections.abc.Callable
@@ -56,137 +55,28 @@
     is_stopping: collections.abc.Callable
     find_head_limit: collections.abc.Callable
     clock: collections.abc.Callable
+    find_limits: collections.abc.Callable = routing.Limits
+    clients: object = dataclasses.field(default_factory=clients.build_clients)
     connections: set = dataclasses.field(default_factory=set)
 
 
-class CallerRequest:
-    """A request whose head has arrived.
-
-    ``headers`` maps names, in any case, to values; ``raw_headers`` has the
-    fields as they were sent. ``arrived_at`` is the time of the head.
-    """
-
-    def __init__(self, method, raw_path, raw_headers, arrived_at):
-        self.method = method
-        self.raw_path = raw_path
-        self.raw_headers = raw_headers
-        self.headers = multidict.CIMultiDict(
-            (name.decode('latin-1'), value.decode('latin-1'))
-            for name, value in raw_headers
-        )
-        self.arrived_at = arrived_at
-        self.content_length = None
-        self.is_complete = False
-        # Called when the body is wanted, to ask the caller for it.
-        self.on_body_wanted = None
-        self._chunks = []
-        self.buffered_bytes = 0
-        self._limit = None
-        self._is_dropped = False
-        self._error = None
-        self._arrived = None
-
-    @property
-    def body_exists(self) -> bool:
-        """Return whether the head announces a body."""
-        return self.content_length != 0
-
-    @property
-    def bytes_left(self) -> float:
-        """Return how many bytes of the body are still to come."""
-        if self.is_complete:
-            return 0
-        if self.content_length is None:
-            return float('inf')
-        return self.content_length - self.buffered_bytes
-
-    async def read_body(self, limit: int) -> bytes:
-        """Return the whole body.
-
-        Raises UploadTooLarge beyond ``limit`` bytes, and UploadAborted if the
-        caller sends something that is no body.
-        """
-        self._limit = limit
-        if not self.is_complete and self.buffered_bytes <= limit:
-            self._arrived = asyncio.get_running_loop().create_future()
-            if self.on_body_wanted is not None:
-                self.on_body_wanted()
-            if self._error is None:
-                await self._arrived
-        if self._error is not None:
-            raise self._error
-        if self.buffered_bytes > limit:
-            raise errors.UploadTooLarge(
-                f'the body has more than {limit} bytes; send less'
-            )
-        return b''.join(self._chunks)
-
-    def add_data(self, data: bytes) -> None:
-        """Take a part of the body."""
-        self.buffered_bytes += len(data)
-        if self._is_dropped:
-            return
-        self._chunks.append(data)
-        if self._limit is not None and self.buffered_bytes > self._limit:
-            self._release()
-
-    def complete(self) -> None:
-        """Record that the body has ended."""
-        self.is_complete = True
-        self._release()
-
-    def fail(self, error: errors.UploadAborted) -> None:
-        """Record that the rest of the body cannot be read."""
-        self._error = error
-        self._release()
-
-    def drop_body(self) -> None:
-        """Keep nothing of the body, which is no longer needed."""
-        self._is_dropped = True
-        self._chunks.clear()
-
-    def _release(self) -> None:
-        if self._arrived is not None and not self._arrived.done():
-            self._arrived.set_result(None)
-
-
-@dataclasses.dataclass(slots=True)
-class Exchange:
-    """A request with its handler's task, and its reply once there is one."""
-
-    request: CallerRequest
-    is_http_11: bool
-    keeps_alive: bool
-    # The caller sends the body only when asked for it.
-    awaits_continue: bool = False
-    is_body_wanted: bool = False
-    task: asyncio.Task | None = None
-    reply: CallerReply | None = None
-
-
-class Connection(asyncio.Protocol):
+class Connection(callerinput.CallerInput):
     """One connection of a caller.
 
     ``decisions/pipelines`` decides what starts and what is sent.
     """
 
     def __init__(self, ports: ServerPorts):
-        self._ports = ports
-        self._parser = httptools.HttpRequestParser(self)
+        super().__init__(ports)
         self._pipeline = pipelines.Pipeline()
         self._exchanges = {}
         self._next_number = 0
-        self._transport = None
-        # The exchange whose message is being received.
-        self._receiving = None
-        self._path = bytearray()
-        self._raw_headers = []
-        self._head_bytes = 0
-        # Bytes since the latest complete head, part of a body or message.
-        self._unparsed_bytes = 0
-        self._input_ended = False
-        self._is_reading_paused = False
         self._is_writing_paused = False
+        # Memory that is counted for answers which the socket has not taken.
+        self._unsent_held = 0
+        self._unsent_bytes = 0
+        self._unsent_since = 0.0
+        self._unread_timer = None
         self._idle_since = 0.0
         self._idle_timer = None
         self._drop_timer = None
@@ -194,22 +84,49 @@
     def connection_made(self, transport):
         """Register the connection, so that it is closed on shutdown."""
         self._transport = transport
+        # The protocol is told as soon as bytes wait in this process.
+        transport.set_write_buffer_limits(0)
         self._ports.connections.add(self)
         loop = asyncio.get_running_loop()
         self._idle_since = loop.time()
-        self._idle_timer = loop.call_later(IDLE_TIMEOUT_S, self._check_idle)
+        self._idle_timer = loop.call_later(
+            self._ports.find_limits().idle_s, self._check_idle
+        )
+        self.holder = self._ports.clients.enter(
+            self, clientbudget.Kind.CALLER, transport
+        )
 
     def connection_lost(self, exc):
         """Cancel all requests: their answers cannot be sent."""
+        self._release()
+
+    def cut(self) -> None:
+        """Close the connection at once and free what is held for it."""
+        self._transport.abort()
+        self._release()
+
+    def _release(self) -> None:
+        """Free all memory without waiting for a collection of cycles."""
         self._input_ended = True
         self._ports.connections.discard(self)
-        self._idle_timer.cancel()
-        if self._drop_timer is not None:
-            self._drop_timer.cancel()
-        for exchange in self._exchanges.values():
-            if exchange.task is not None:
-                exchange.task.cancel()
-        self._exchanges.clear()
+        self._ports.clients.leave(self.holder)
+        self.cancel_head_timer()
+        self.end_dropping()
+        for timer in (self._idle_timer, self._unread_timer):
+            if timer is not None:
+                timer.cancel()
+        exchanges, self._exchanges = self._exchanges, {}
+        for exchange in exchanges.values():
+            exchange.request.drop()
+            # A cancelled task keeps a traceback that refers to the exchange.
+            task, exchange.task = exchange.task, None
+            if task is not None:
+                task.cancel()
+        self._receiving = None
+        self._raw_headers = []
+        self._path = bytearray()
+        # The parser refers to the connection.
+        self._parser = None
 
     def abort(self) -> None:
         """Close the connection at once."""
@@ -218,144 +135,57 @@
     def pause_writing(self):
         """Hold further answers: the caller does not read."""
         self._is_writing_paused = True
+        if self._unread_timer is None:
+            loop = asyncio.get_running_loop()
+            self._unsent_bytes, self._unsent_since = 0, loop.time()
+            self._unread_timer = loop.call_later(
+                clients.UNREAD_LIMIT_S / UNREAD_CHECKS, self._check_unread
+            )
 
     def resume_writing(self):
         """Send the answers that were held."""
         self._is_writing_paused = False
+        if self._unread_timer is not None:
+            self._unread_timer.cancel()
+            self._unread_timer = None
+        unsent, self._unsent_held = self._unsent_held, 0
+        self._ports.clients.hold(self.holder, -unsent)
+        self._note_progress()
         self._advance()
-        self._update_reading()
+        self.update_reading()
 
-    def data_received(self, data):
-        """Parse the bytes of a caller."""
-        if self._input_ended:
-            return
-        self._unparsed_bytes += len(data)
-        while data and not self._input_ended:
-            try:
-                self._parser.feed_data(data)
-                break
-            except httptools.HttpParserUpgrade as upgrade:
-                # No other protocol is spoken here, so the request is one of
-                # HTTP/1.1 and others may follow it.
-                self._parser = httptools.HttpRequestParser(self)
-                data = data[upgrade.args[0] :]
-            except httptools.HttpParserError as error:
-                # After a request that ends the input, the parser rejects
-                # whatever follows.
-                if not self._input_ended:
-                    self._fail_input(400, f'the request is malformed: {error}')
-                break
-        limit = self._ports.find_head_limit() + MAX_UNSTARTED_BODY_BYTES
-        if not self._input_ended and self._unparsed_bytes > limit:
-            self._fail_input(431, 'the head or trailer is too long')
-        self._update_reading()
-
-    def on_message_begin(self):
-        """Begin a message; called by the parser, as the following ones."""
-        self._path.clear()
-        self._raw_headers = []
-        self._head_bytes = 0
-
-    def on_url(self, url):
-        """Add a part of the request target."""
-        self._path += url
-        self._head_bytes += len(url)
-
-    def on_header(self, name, value):
-        """Add a header field; fields behind the body are ignored."""
-        if self._receiving is None and not self._input_ended:
-            self._raw_headers.append((name, value.rstrip(b' \t')))
-            self._head_bytes += len(name) + len(value)
-
-    def on_headers_complete(self):
-        """Add the request to the pipeline."""
-        if self._input_ended:
-            return
-        parser = self._parser
-        self._unparsed_bytes = 0
-        version = parser.get_http_version()
-        request = CallerRequest(
-            parser.get_method().decode('latin-1'),
-            self._path.decode('latin-1'),
-            self._raw_headers,
-            self._ports.clock(),
-        )
-        refusal = self._find_head_refusal(request, version)
-        if refusal is not None:
-            self._fail_input(*refusal)
-            return
-        headers = request.headers
-        if 'Transfer-Encoding' not in headers:
-            request.content_length = int(headers.get('Content-Length', 0))
-        exchange = Exchange(
-            request,
-            version == '1.1',
-            parser.should_keep_alive(),
-            headers.get('Expect', '').lower() == '100-continue',
-        )
+    def add_exchange(self, exchange) -> None:
+        """Add a request to the pipeline."""
+        request = exchange.request
         request.on_body_wanted = lambda: self._request_body(exchange)
-        self._receiving = exchange
-        self._add_exchange(exchange, self._ports.is_repeatable(request))
+        self._add(exchange, self._ports.is_repeatable(request))
+        self._note_progress()
         self._advance()
 
-    def on_body(self, data):
-        """Add a part of the body."""
-        self._unparsed_bytes = 0
-        if self._receiving is not None:
-            self._receiving.awaits_continue = False
-            self._receiving.request.add_data(data)
-
-    def on_message_complete(self):
-        """Complete the body of the request."""
-        exchange, self._receiving = self._receiving, None
-        self._unparsed_bytes = 0
-        if exchange is None:
-            return
-        exchange.request.complete()
-        if self._drop_timer is not None:
-            self._drop_timer.cancel()
-            self._drop_timer = None
-        if not exchange.keeps_alive:
-            self._input_ended = True
-
-    def _find_head_refusal(self, request, version):
-        """Return status and reason if the head is invalid, otherwise None."""
-        if version not in VERSIONS:
-            return 400, f'the version {version} of HTTP is not supported'
-        if len(request.headers.getall('Host', ())) > 1:
-            return 400, 'the request has several hosts'
-        if self._head_bytes > self._ports.find_head_limit():
-            return 431, 'the head is too long'
-        return None
-
-    def _add_exchange(self, exchange, is_repeatable) -> int:
+    def refuse_input(self, status: int, reason: str) -> None:
+        """Answer in the place of a request that is not read."""
+        reply = CallerReply(status, (), f'{reason}\n'.encode())
+        if status == BUSY_REPLY.status:
+            reply = BUSY_REPLY
+        request = CallerRequest('', '', (), self._ports.clock())
+        request.content_length = 0
+        request.complete()
+        exchange = callermessages.Exchange(request, True, False)
+        number = self._add(exchange, False)
+        exchange.reply = reply
+        self._pipeline.finish(number, len(reply.body), True)
+        self._advance()
+
+    def _add(self, exchange, is_repeatable) -> int:
         number = self._next_number
         self._next_number += 1
         self._exchanges[number] = exchange
         self._pipeline.add(number, is_repeatable)
         return number
 
-    def _fail_input(self, status, reason) -> None:
-        """Read no further requests.
-
-        A request whose body is being received fails. Otherwise the refusal
-        takes the place of the request that cannot be read.
-        """
-        self._input_ended = True
-        receiving, self._receiving = self._receiving, None
-        if receiving is not None:
-            receiving.keeps_alive = False
-            receiving.request.fail(errors.UploadAborted(reason))
-            return
-        eliot.log_message('caller: input refused', status=status, why=reason)
-        request = CallerRequest('', '', (), self._ports.clock())
-        request.content_length = 0
-        request.complete()
-        exchange = Exchange(request, True, False)
-        number = self._add_exchange(exchange, False)
-        exchange.reply = CallerReply(status, (), f'{reason}\n'.encode())
-        self._pipeline.finish(number, len(exchange.reply.body), True)
-        self._advance()
+    def _note_progress(self) -> None:
+        is_busy = bool(self._exchanges) or self._is_writing_paused
+        self._ports.clients.note_progress(self.holder, is_busy)
 
     def _advance(self) -> None:
         """Start and send what the pipeline allows."""
@@ -385,7 +215,7 @@
     async def _run(self, number, exchange) -> None:
         request = exchange.request
         try:
-            reply = await self._ports.handle(request)
+            reply = await self._handle(request)
         except Exception as error:
             # The caller gets an answer in any case; a fault of this process
             # must not look like a lost connection.
@@ -395,8 +225,8 @@
             return
         exchange.reply, exchange.task = reply, None
         must_close = not exchange.keeps_alive
+        request.drop()
         if not request.is_complete:
-            request.drop_body()
             must_close = (
                 must_close
                 or exchange.awaits_continue
@@ -406,26 +236,53 @@
                 self._drop_timer = asyncio.get_running_loop().call_later(
                     DROP_TIMEOUT_S, self.abort
                 )
+        self.hold_for(exchange, len(reply.body))
+        if number not in self._exchanges:
+            # The answer was more than the process may hold.
+            return
         self._pipeline.finish(number, len(reply.body), must_close)
         self._advance()
-        self._update_reading()
+        self.update_reading()
+
+    async def _handle(self, request) -> CallerReply:
+        """Run a request, unless the node holds too much for its caller."""
+        wanted = request.content_length or 0
+        if self._ports.clients.must_refuse(self.holder, wanted):
+            self._ports.clients.record_refusal(self.holder, 'busy')
+            return BUSY_REPLY
+        return await self._ports.handle(request)
 
     def _send(self, sendable: pipelines.Sendable) -> None:
         exchange = self._exchanges.pop(sendable.number)
         for number in sendable.dropped:
-            del self._exchanges[number]
-        self._transport.write(
-            encode_reply(
-                exchange.reply,
-                sendable.closes,
-                not exchange.is_http_11,
-            )
-        )
+            dropped = self._exchanges.pop(number)
+            dropped.request.drop()
+            self.hold_for(dropped, 0)
+        self._write_reply(exchange, sendable.closes)
         if not self._exchanges:
             self._idle_since = asyncio.get_running_loop().time()
         if sendable.closes:
             self._close_gracefully(exchange.request.is_complete)
 
+    def _write_reply(self, exchange, closes) -> None:
+        """Write an answer; the only place where bodies are written."""
+        reply = exchange.reply
+        parts = [
+            callermessages.encode_reply_head(
+                reply, closes, not exchange.is_http_11
+            )
+        ]
+        if reply.body and reply.status not in callermessages.BODILESS_STATUSES:
+            parts.append(reply.body)
+        self._transport.writelines(parts)
+        if self._is_writing_paused:
+            # The socket's buffer keeps the whole body until its last byte is
+            # taken.
+            self._unsent_held += exchange.held
+        else:
+            self.hold_for(exchange, 0)
+            self._note_progress()
+
     def _close_gracefully(self, is_all_read: bool) -> None:
         """Close after the answer; wait for a caller that still sends."""
         is_all_read = is_all_read and not self._receiving
@@ -456,13 +313,16 @@
             exchange.awaits_continue = False
             self._transport.write(CONTINUE)
 
-    def _update_reading(self) -> None:
+    def update_reading(self) -> None:
         """Pause or resume reading, as the bounds of the connection demand."""
         if self._transport.is_closing() or self._input_ended:
             return
         receiving = self._receiving
         if receiving is None:
-            must_pause = self._pipeline.must_pause
+            must_pause = (
+                self._pipeline.must_pause
+                or self._ports.clients.must_pause(self.holder)
+            )
         else:
             # The body of a request that runs or is answered must arrive.
             must_pause = (
@@ -478,11 +338,35 @@
             else:
                 self._transport.resume_reading()
 
+    def end_dropping(self) -> None:
+        """Stop waiting for the rest of a body."""
+        if self._drop_timer is not None:
+            self._drop_timer.cancel()
+            self._drop_timer = None
+
+    def _check_unread(self) -> None:
+        """Cut a caller that takes no byte of its answer for some time."""
+        loop = asyncio.get_running_loop()
+        unsent = clients.count_unsent_bytes(self._transport)
+        if unsent != self._unsent_bytes:
+            self._unsent_bytes, self._unsent_since = unsent, loop.time()
+        elif loop.time() - self._unsent_since >= clients.UNREAD_LIMIT_S * (
+            1 - 1 / UNREAD_CHECKS
+        ):
+            self._ports.clients.record_refusal(self.holder, 'unread')
+            self.cut()
+            return
+        self._unread_timer = loop.call_later(
+            clients.UNREAD_LIMIT_S / UNREAD_CHECKS, self._check_unread
+        )
+
     def _check_idle(self) -> None:
         loop = asyncio.get_running_loop()
-        due = self._idle_since + IDLE_TIMEOUT_S
-        if self._exchanges:
-            due = loop.time() + IDLE_TIMEOUT_S
+        idle_s = self._ports.find_limits().idle_s
+        due = self._idle_since + idle_s
+        is_open = self._exchanges or self._is_writing_paused
+        if is_open or self._head_timer is not None:
+            due = loop.time() + idle_s
         elif loop.time() >= due:
             self._transport.close()
             return
@@ -513,27 +397,3 @@
         self._listener.close()
         for connection in list(self._ports.connections):
             connection.abort()
-
-
-def encode_reply(
-    reply: CallerReply, closes: bool, is_http_10: bool = False
-) -> bytes:
-    """Return the bytes of an answer."""
-    lines = [f'HTTP/1.1 {reply.status} {PHRASES.get(reply.status, "")}']
-    has_type = False
-    for name, value in reply.headers:
-        has_type = has_type or name.lower() == 'content-type'
-        lines.append(f'{name}: {value}')
-    body = reply.body
-    if reply.status in BODILESS_STATUSES:
-        body = b''
-    else:
-        if body and not has_type:
-            lines.append('Content-Type: application/octet-stream')
-        lines.append(f'Content-Length: {len(body)}')
-    if closes:
-        lines.append('Connection: close')
-    elif is_http_10:
-        lines.append('Connection: keep-alive')
-    head = '\r\n'.join(lines) + '\r\n\r\n'
-    return head.encode('latin-1') + body
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -99,8 +99,11 @@
         for task in self._open:
             task.cancel()
 
-    def build_server(self) -> pipelinedhttp.CallerServer:
-        """Return the server; closing a connection cancels its requests."""
+    def build_server(self, clients) -> pipelinedhttp.CallerServer:
+        """Return the server; closing a connection cancels its requests.
+
+        ``clients`` counts what the connections hold.
+        """
         return pipelinedhttp.CallerServer(
             pipelinedhttp.ServerPorts(
                 self.handle,
@@ -108,6 +111,8 @@
                 lambda: self.stopping,
                 lambda: self._context.ports.states.current.limits.head_bytes,
                 self._context.ports.clock,
+                lambda: self._context.ports.states.current.limits,
+                clients,
             )
         )
 
--- a/sesamejunction/platform/heartbeathttp.py
+++ b/sesamejunction/platform/heartbeathttp.py
@@ -6,6 +6,7 @@
 import msgspec
 import pydantic
 
+from sesamejunction.border import controlhttp
 from sesamejunction.border import logs
 from sesamejunction.model import leasing
 from sesamejunction.model import ranges
@@ -92,9 +93,9 @@
         self._lease = lease
         self._is_ready = is_ready
 
-    def build_server(self) -> web.Server:
-        """Return the aiohttp server."""
-        return web.Server(self.handle, access_log=None)
+    def build_server(self, clients) -> web.Server:
+        """Return the server; ``clients`` counts what connections hold."""
+        return controlhttp.ControlServer(self.handle, clients)
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer a readiness check, a heartbeat or a target's departure."""
--- a/sesamejunction/platform/metrics.py
+++ b/sesamejunction/platform/metrics.py
@@ -2,6 +2,8 @@
 
 from aiohttp import web
 
+from sesamejunction.border import controlhttp
+
 
 class MetricsPage:
     """Serves the node's metrics.
@@ -13,9 +15,9 @@
         self._metrics = metrics
         self._update_gauges = update_gauges
 
-    def build_server(self) -> web.Server:
-        """Return the aiohttp server."""
-        return web.Server(self.handle, access_log=None)
+    def build_server(self, clients) -> web.Server:
+        """Return the server; ``clients`` counts what connections hold."""
+        return controlhttp.ControlServer(self.handle, clients)
 
     async def handle(self, _request: web.BaseRequest) -> web.Response:
         """Return the metrics as text."""
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -7,6 +7,7 @@
 from sesamejunction.border import framing
 from sesamejunction.border import linkcodec
 from sesamejunction.commands import bodies
+from sesamejunction.decisions import clientbudget
 from sesamejunction import errors
 from sesamejunction.model import incomingbodies
 from sesamejunction.model import linking
@@ -17,6 +18,8 @@
 # trip, or the transfer of the last answer: up to 250,000 bytes at 5 Mbit/s.
 CLOSE_GRACE_S = 0.5
 CLOSE_CHECK_S = 0.01
+# Time for the first frame; a peer sends it with the connection's first bytes.
+HELLO_LIMIT_S = 5.0
 # Other nodes learn within about this time that a node stopped or restarted.
 RETRY_AFTER_S = 0.1
 
@@ -28,6 +31,7 @@
     ``host_request`` runs a request at the target beside this node. ``answer``
     returns the reply to a question, or None if there is none to send.
     ``body_ports`` is used to receive large bodies, ``traffic`` counts bytes.
+    ``clients`` counts the connections that are not authenticated yet.
     """
 
     incarnation: int
@@ -36,6 +40,7 @@
     answer: collections.abc.Callable
     body_ports: bodies.Ports | None = None
     traffic: object = None
+    clients: object = None
     connections: set = dataclasses.field(default_factory=set)
 
 
@@ -51,19 +56,41 @@
         self._sender = 0
         self._running = {}
         self._part_tasks = set()
+        self._holder = None
+        self._hello_timer = None
 
     def connection_made(self, transport):
         """Register the connection, so that it is closed on shutdown."""
         super().connection_made(transport)
         self._ports.connections.add(self)
+        if self._ports.clients is not None:
+            self._holder = self._ports.clients.enter(
+                self, clientbudget.Kind.PEER, transport
+            )
+        self._hello_timer = asyncio.get_running_loop().call_later(
+            HELLO_LIMIT_S, self.cut
+        )
 
     def connection_lost(self, exc):
         """Cancel repeatable requests, whose replies cannot be sent."""
         self._ports.connections.discard(self)
+        self._stop_counting()
         for task, repeatable in self._running.values():
             if repeatable:
                 task.cancel()
 
+    def cut(self) -> None:
+        """Close the connection at once."""
+        self.transport.abort()
+
+    def _stop_counting(self) -> None:
+        """End the limits for connections that are not authenticated."""
+        if self._hello_timer is not None:
+            self._hello_timer.cancel()
+        if self._holder is not None:
+            self._ports.clients.leave(self._holder)
+            self._holder = None
+
     def handle_frame(self, frame) -> None:
         """Handle a frame from the peer."""
         match frame:
@@ -131,7 +158,9 @@
         self._sender = hello.sender
         if not self._is_authenticated:
             self.transport.abort()
-        elif self._is_stale:
+            return
+        self._stop_counting()
+        if self._is_stale:
             self.frame_limit = framing.MAX_STALE_FRAME_BYTES
         else:
             self.frame_limit = framing.MAX_FRAME_BYTES
--- a/sesamejunction/ui/hostednode.py
+++ b/sesamejunction/ui/hostednode.py
@@ -9,6 +9,7 @@
 import eliot
 
 from sesamejunction.border import hostedsettings
+from sesamejunction.decisions import clientbudget
 from sesamejunction import errors
 from sesamejunction.platform import bounds
 from sesamejunction.ui import hostedwiring
@@ -17,8 +18,6 @@
 # find it not ready.
 CALLER_LEAVE_S = 2.3
 POLL_INTERVAL_S = 0.02
-# New connections that may wait to be accepted.
-BACKLOG = 1024
 # Time for the answers to requests that outlast the stop to leave this node.
 LAST_ANSWERS_S = 0.1
 # Part of the platform's grace time that a stop may use.
@@ -75,11 +74,16 @@
     async def _listen(self) -> None:
         components, node_settings = self._components, self._settings
         callers = node_settings.parse_address('callers')
-        caller_server = components.front.build_server()
-        await caller_server.start(callers.host, callers.port, BACKLOG)
+        clients = components.clients
+        caller_server = components.front.build_server(clients)
+        await caller_server.start(
+            callers.host,
+            callers.port,
+            clients.limits.find_backlog(clientbudget.Kind.CALLER),
+        )
         self._stack.push_async_callback(caller_server.close)
         self._caller_sites.append(caller_server)
-        control_server = components.heartbeat_handler.build_server()
+        control_server = components.heartbeat_handler.build_server(clients)
         await self._open(
             control_server, node_settings.parse_address('heartbeats')
         )
@@ -89,13 +93,22 @@
         metrics = hostedsettings.Address(
             host=str(node_settings.host), port=node_settings.metrics_port
         )
-        await self._open(components.metrics_page.build_server(), metrics)
+        await self._open(
+            components.metrics_page.build_server(clients), metrics
+        )
 
     async def _open(self, server, address) -> web.TCPSite:
         runner = web.ServerRunner(server, shutdown_timeout=0)
         await runner.setup()
         self._stack.push_async_callback(runner.cleanup)
-        site = web.TCPSite(runner, address.host, address.port, backlog=BACKLOG)
+        site = web.TCPSite(
+            runner,
+            address.host,
+            address.port,
+            backlog=self._components.clients.limits.find_backlog(
+                clientbudget.Kind.CONTROL
+            ),
+        )
         await site.start()
         return site
 
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -7,6 +7,7 @@
 
 import eliot
 
+from sesamejunction.border import clients
 from sesamejunction.border import hostedmetrics
 from sesamejunction.border import hostedsettings
 from sesamejunction.border import httpclient
@@ -17,6 +18,7 @@
 from sesamejunction.commands import bodies
 from sesamejunction.commands import hosting
 from sesamejunction.commands import ports as porting
+from sesamejunction.decisions import clientbudget
 from sesamejunction import errors
 from sesamejunction.model import gating
 from sesamejunction.model import leasing
@@ -75,6 +77,15 @@
         self._stopping = False
         self._metrics = hostedmetrics.HostedMetrics()
         self._usage = usage.ProcessUsage(usage.Traffic(), self._metrics)
+        self._states = porting.StateView()
+        self.clients = clients.Clients(
+            clientbudget.derive_limits(
+                node_settings.memory_mb, node_settings.max_descriptors
+            ),
+            self._host,
+            self._find_largest_request,
+            self._metrics.clients_refused.inc,
+        )
 
     async def build(self, group) -> None:
         """Build and start all tasks; waits until the store answers."""
@@ -159,7 +170,6 @@
                 await asyncio.sleep(STORE_RETRY_INTERVAL_S)
 
     def _build_views(self) -> None:
-        self._states = porting.StateView()
         self._presence_view = presence.PresenceView()
         self._lease_view = porting.LeaseView()
         self._lease_view.publish(owning.Lease(math.inf))
@@ -351,6 +361,7 @@
             self._answer,
             self._bodies,
             self._usage.traffic,
+            self.clients,
         )
         self._listener = await asyncio.get_running_loop().create_server(
             lambda: linkserver.LinkServer(ports),
@@ -389,6 +400,11 @@
         standing = self._lease.target_status
         return standing and standing.life and standing.life.target
 
+    def _find_largest_request(self) -> int:
+        """Return the memory of the largest request that is allowed."""
+        limits = self._states.current.limits
+        return clients.find_largest_request(limits)
+
     def _is_ready(self) -> bool:
         current = self._states.current
         return (
@@ -465,6 +481,9 @@
             'hold_margin_seconds': self._lease.holdings.until - now,
             'link_sent_bytes': self._usage.traffic.sent,
             'link_received_bytes': self._usage.traffic.received,
+            'clients_held_bytes': self.clients.held_bytes,
+            'clients_paused': self.clients.paused_count,
+            'clients_connected': self.clients.connection_count,
         }
         for name, value in gauges.items():
             self._metrics.set(name, value)
--- a/test/test_pipelinedhttp.py
+++ b/test/test_pipelinedhttp.py
@@ -155,6 +155,9 @@
     'long head': (
         *(request('/a', fields=f'X: {"x" * HEAD_LIMIT}\r\n'), [431], []),
     ),
+    'short lines up to the limit': (
+        *(request('/a', fields='a:\r\n' * 480 + CLOSE), [200], ['/a']),
+    ),
     'endless head': ('GET /a HTTP/1.1\r\nX: ' + 'x' * 99_999, [431], []),
     'long body': (
         *(upload('/up', BODY_LIMIT + 1) + LAST, [413, 200], ['/up', '/last']),
