Treat an end of stream behind a reset as a broken answer

Cause: on Linux the first call on a socket after a reset gets the error, and a write may be that call. The next read returns an end of stream, so an answer without a length looked complete to both clients.

Change: at the end of a stream, the state of the connection (TCP_INFO) says whether the peer has closed it in order.

--- a/sesamejunction/border/httpconnector.py
+++ b/sesamejunction/border/httpconnector.py
@@ -8,6 +8,7 @@
 from aiohttp import client_proto
 
 from sesamejunction.border import responselimits
+from sesamejunction.border import streamends
 
 # Bytes of bodies and of heads that are parsed in one turn of the event loop,
 # so that other tasks are not delayed. A read returns up to 256 KB. Parsing
@@ -31,6 +32,7 @@
         self._interim_count = 0
         self._received_bytes = 0
         self._unparsed = b''
+        self._was_reset = False
         self._unread_poll = select.poll()
 
     def connection_made(self, transport):
@@ -137,11 +139,21 @@
                 self._close_now()
         super().feed_data(item, size)
 
+    def eof_received(self):
+        """Record whether the end of the stream hides a reset."""
+        super().eof_received()
+        transport = self.transport
+        self._was_reset = transport is None or not streamends.is_orderly(
+            transport
+        )
+
     def connection_lost(self, exc):
         """Fail the running exchange.
 
         A reset does not complete a body that ends by a close.
         """
+        if exc is None and self._was_reset:
+            exc = ConnectionResetError('the connection was reset')
         unparsed, self._unparsed = self._unparsed, b''
         if unparsed and exc is None:
             # An orderly close follows the bytes that still wait to be parsed.
--- a/sesamejunction/border/targetconnections.py
+++ b/sesamejunction/border/targetconnections.py
@@ -8,6 +8,7 @@
 
 from sesamejunction.border import httpclient
 from sesamejunction.border import responselimits
+from sesamejunction.border import streamends
 from sesamejunction import errors
 
 CONNECT_TIMEOUT_S = 0.3
@@ -277,6 +278,7 @@
             and answer is not None
             and answer.status >= 200
             and answer.is_complete_at_close
+            and streamends.is_orderly(self.transport)
         ):
             self._accept_answer()
             self._deliver_answer()
