Refuse statuses that are none, on all three paths

Cause: the parsers of both clients take any three digits as a status. 600, 700 and 999 were passed on to callers; 000, 001 and 099 counted as interim answers, so the request waited for its deadline. The plain client also passed 101 on.

Change: an answer whose status is not in 100..599 is lost, which the retry rules treat as any lost answer: repeated where allowed, otherwise 502. The callers' server sends no status outside 200..599; it answers 502 instead.

--- a/sesamejunction/border/callermessages.py
+++ b/sesamejunction/border/callermessages.py
@@ -8,6 +8,8 @@
 
 from sesamejunction import errors
 
+# Statuses that a caller may get; interim answers are not passed on.
+STATUSES = range(200, 600)
 BODILESS_STATUSES = frozenset((204, 304))
 PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
@@ -21,6 +23,15 @@
     body: bytes = b''
 
 
+RETRY_AFTER_S = 0.2
+BUSY_REPLY = CallerReply(
+    503,
+    (('Retry-After', f'{RETRY_AFTER_S:.3f}'),),
+    b'the node is busy; nothing has run\n',
+)
+ODD_REPLY = CallerReply(502, (), b'the answer has no valid status\n')
+
+
 class CallerRequest:
     """A request whose head has arrived.
 
--- a/sesamejunction/border/httpconnector.py
+++ b/sesamejunction/border/httpconnector.py
@@ -17,6 +17,8 @@
 TURN_BYTES = 1 << 13
 HEAD_TURN_BYTES = 1 << 12
 FINAL_STATUS = 200
+# No other protocol is ever asked for.
+SWITCHING_PROTOCOLS = 101
 
 
 class CheckedResponseHandler(client_proto.ResponseHandler):
@@ -131,6 +133,13 @@
         if self._answered:
             self.force_close()
             return
+        if (
+            message.code not in responselimits.STATUSES
+            or message.code == SWITCHING_PROTOCOLS
+        ):
+            # The waiting request fails with the connection.
+            self._close_now()
+            return
         if message.code >= FINAL_STATUS:
             self._answered = True
         else:
--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -30,12 +30,6 @@
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Checks of an unread answer within clients.UNREAD_LIMIT_S.
 UNREAD_CHECKS = 4
-RETRY_AFTER_S = 0.2
-BUSY_REPLY = CallerReply(
-    503,
-    (('Retry-After', f'{RETRY_AFTER_S:.3f}'),),
-    b'the node is busy; nothing has run\n',
-)
 
 
 @dataclasses.dataclass(slots=True)
@@ -165,8 +159,8 @@
     def refuse_input(self, status: int, reason: str) -> None:
         """Answer in the place of a request that is not read."""
         reply = CallerReply(status, (), f'{reason}\n'.encode())
-        if status == BUSY_REPLY.status:
-            reply = BUSY_REPLY
+        if status == callermessages.BUSY_REPLY.status:
+            reply = callermessages.BUSY_REPLY
         request = CallerRequest('', '', (), self._ports.clock())
         request.content_length = 0
         request.complete()
@@ -249,8 +243,12 @@
         wanted = request.content_length or 0
         if self._ports.clients.must_refuse(self.holder, wanted):
             self._ports.clients.record_refusal(self.holder, 'busy')
-            return BUSY_REPLY
-        return await self._ports.handle(request)
+            return callermessages.BUSY_REPLY
+        reply = await self._ports.handle(request)
+        if reply.status not in callermessages.STATUSES:
+            eliot.log_message('caller: odd status', status=reply.status)
+            return callermessages.ODD_REPLY
+        return reply
 
     def _send(self, sendable: pipelines.Sendable) -> None:
         exchange = self._exchanges.pop(sendable.number)
--- a/sesamejunction/border/targetconnections.py
+++ b/sesamejunction/border/targetconnections.py
@@ -311,7 +311,10 @@
 
     def on_headers_complete(self):
         """Record the status of a complete head."""
-        self._answer.status = self._parser.get_status_code()
+        status = self._parser.get_status_code()
+        if status not in responselimits.STATUSES:
+            self._abort_parsing('a status that is none')
+        self._answer.status = status
         self._has_head = True
 
     def on_body(self, body: bytes):
--- a/test/test_pipelinedhttp.py
+++ b/test/test_pipelinedhttp.py
@@ -38,6 +38,8 @@
             await asyncio.sleep(SLOW_S)
         if path.startswith('/fail'):
             raise ValueError('a fault')
+        if path.startswith('/status'):
+            return pipelinedhttp.CallerReply(int(path.removeprefix('/status')))
         if path.startswith('/early'):
             return pipelinedhttp.CallerReply(401, (), b'early')
         body = b''
@@ -136,6 +138,14 @@
         upload('/early', 3, 0, 'Expect: 100-continue\r\n'),
         *([401], ['/early']),
     ),
+    'statuses that are none': (
+        ''.join(
+            request(f'/status{status}')
+            for status in (0, 99, 100, 101, 600, 999, 1000, -1, 599)
+        )
+        + LAST,
+        *([502] * 8 + [599, 200], None),
+    ),
     'behind a closing request': (LAST + request('/a'), [200], ['/last']),
     'old version': ('GET /a HTTP/1.0\r\n\r\n', [200], ['/a']),
     'fault of the handler': (request('/fail') + LAST, [500, 200], None),
