Callers: bound the kernel's part of an unread answer

Cause: the kernel took 2.8 MB of an answer that a caller did not read. No limit counted it, and a machine of 200 MB has not the memory for many.

Change: the sockets of callers have a send buffer of 128 KiB, which the kernel doubles; the rest waits in the process, where it is counted.

--- a/sesamejunction/border/callermessages.py
+++ b/sesamejunction/border/callermessages.py
@@ -4,10 +4,12 @@
 import dataclasses
 import http
 
+import eliot
 import multidict
 
 from sesamejunction import errors
 
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Statuses that a caller may get; interim answers are not passed on.
 STATUSES = range(200, 600)
 BODILESS_STATUSES = frozenset((204, 304))
@@ -152,6 +154,14 @@
     held: int = 0
 
 
+def check_status(reply: CallerReply) -> CallerReply:
+    """Return the reply, or 502 if its status is none."""
+    if reply.status in STATUSES:
+        return reply
+    eliot.log_message('caller: odd status', status=reply.status)
+    return ODD_REPLY
+
+
 def encode_reply_head(
     reply: CallerReply, closes: bool, is_http_10: bool = False
 ) -> bytes:
--- a/sesamejunction/border/clients.py
+++ b/sesamejunction/border/clients.py
@@ -72,7 +72,9 @@
         return holder
 
     def leave(self, holder: clientbudget.Holder) -> None:
-        """Release all that is held for a connection."""
+        """Release all that is held for a connection that is not cut."""
+        if holder not in self._connections:
+            return
         self.hold(holder, -holder.held)
         self._connections.pop(holder, None)
         self._paused.discard(holder)
@@ -89,7 +91,7 @@
                     RESUME_INTERVAL_S, self._resume_paused
                 )
             return
-        while True:
+        while not self._budget.is_calm():
             worst = self._budget.find_heaviest(holder, read_time())
             if worst is None:
                 return
@@ -103,8 +105,10 @@
 
     def must_pause(self, holder: clientbudget.Holder) -> bool:
         """Return whether to read no further requests of a connection now."""
-        step = self._budget.find_step(holder)
-        if step is clientbudget.Step.CALM:
+        if (
+            self._budget.is_calm()
+            or self._budget.find_step(holder) is clientbudget.Step.CALM
+        ):
             self._paused.discard(holder)
             return False
         if holder in self._connections:
@@ -113,6 +117,8 @@
 
     def must_refuse(self, holder, wanted: int) -> bool:
         """Return whether a request is refused, which wants more bytes."""
+        if self._budget.is_calm(wanted):
+            return False
         return self._budget.find_step(holder, wanted) in (
             clientbudget.Step.REFUSE,
             clientbudget.Step.CLOSE,
--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import socket
 
 import eliot
 
@@ -27,7 +28,9 @@
 # After the last answer, bytes of the caller are read for this time. Closing
 # with unread bytes would reset the connection and could destroy the answer.
 LINGER_S = 1.0
-CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Send buffer of each socket; the kernel doubles it. Without it the kernel took
+# 2.8 MB of an answer that a caller did not read, which no limit counted.
+SEND_BUFFER_BYTES = 1 << 17
 # Checks of an unread answer within clients.UNREAD_LIMIT_S.
 UNREAD_CHECKS = 4
 
@@ -244,11 +247,7 @@
         if self._ports.clients.must_refuse(self.holder, wanted):
             self._ports.clients.record_refusal(self.holder, 'busy')
             return callermessages.BUSY_REPLY
-        reply = await self._ports.handle(request)
-        if reply.status not in callermessages.STATUSES:
-            eliot.log_message('caller: odd status', status=reply.status)
-            return callermessages.ODD_REPLY
-        return reply
+        return callermessages.check_status(await self._ports.handle(request))
 
     def _send(self, sendable: pipelines.Sendable) -> None:
         exchange = self._exchanges.pop(sendable.number)
@@ -309,7 +308,7 @@
             and exchange.reply is None
         ):
             exchange.awaits_continue = False
-            self._transport.write(CONTINUE)
+            self._transport.write(callermessages.CONTINUE)
 
     def update_reading(self) -> None:
         """Pause or resume reading, as the bounds of the connection demand."""
@@ -380,9 +379,12 @@
 
     async def start(self, host: str, port: int, backlog: int) -> None:
         """Listen at an address."""
+        sock = httpclient.bind_listener(host, port)
+        # Accepted sockets inherit it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._listener = await asyncio.get_running_loop().create_server(
             lambda: Connection(self._ports),
-            sock=httpclient.bind_listener(host, port),
+            sock=sock,
             backlog=backlog,
         )
 
--- a/sesamejunction/decisions/clientbudget.py
+++ b/sesamejunction/decisions/clientbudget.py
@@ -115,11 +115,19 @@
 
     def __init__(self, limits: Limits, find_single_bytes=lambda: 0):
         self._limits = limits
+        self._calm_bytes = int(limits.held_bytes * STEPS[-1][0] * ADDRESS_PART)
         self._find_single_bytes = find_single_bytes
         self._addresses = {}
         self.holders = {kind: set() for kind in Kind}
         self.held = 0
 
+    def is_calm(self, wanted: int = 0) -> bool:
+        """Return whether nothing is done about any connection.
+
+        This is quicker than the questions below, which are asked otherwise.
+        """
+        return self.held + wanted <= self._calm_bytes
+
     @property
     def limit(self) -> int:
         """Return the limit of bytes held for all connections."""
--- a/test/process/test_crowds.py
+++ b/test/process/test_crowds.py
@@ -104,6 +104,7 @@
     """What each client sends to a port of the node.
 
     ``start`` returns its first bytes; then ``rest`` is sent ``repeats`` times.
+    ``idlers`` further clients send nothing.
     """
 
     start: object
@@ -111,6 +112,7 @@
     repeats: int = 0
     port: str = 'callers'
     descriptors: int = MANY_DESCRIPTORS
+    idlers: int = 0
 
 
 PIPELINED = 4
@@ -169,6 +171,12 @@
         + b'x' * (BODY_LIMIT - 1),
     ),
     'half-open': Crowd(lambda: b'', descriptors=FEW_DESCRIPTORS),
+    'long answers beside half-open ones': Crowd(
+        encode_head, descriptors=FEW_DESCRIPTORS, idlers=CROWD
+    ),
+    'empty lines beside half-open heartbeats': Crowd(
+        lambda: b'', b'\r\n' * 2048, LONG, 'control', FEW_DESCRIPTORS, CROWD
+    ),
     'idle after an answer': Crowd(
         lambda: b'GET / HTTP/1.1\r\nHost: h\r\n\r\n',
         descriptors=FEW_DESCRIPTORS,
@@ -340,6 +348,11 @@
             Client(crowd, node.machine.host, node.machine.ports[crowd.port])
             for _ in range(CROWD)
         ]
+        silent = Crowd(lambda: b'')
+        clients += [
+            Client(silent, node.machine.host, node.machine.ports[crowd.port])
+            for _ in range(crowd.idlers)
+        ]
         try:
             await asyncio.gather(*(client.run() for client in clients))
             is_answered = await node.ask_ordinary()
