Accept unknown sizes of a machine; test odd statuses through a fleet

Cause: a platform that states 0 or a fraction for the size of a machine would have kept a node from starting.

Change: empty and 0 mean the default, fractions of MB are read. A process test sends requests to servers that answer 999: an order runs once and ends with 502, a lookup runs twice and ends with 502.

--- a/sesamejunction/border/hostedsettings.py
+++ b/sesamejunction/border/hostedsettings.py
@@ -91,16 +91,17 @@
         ge=4096,
         description="largest record of the platform's store, in bytes",
     )
-    memory_mb: int = pydantic.Field(
+    memory_mb: float = pydantic.Field(
         default=clientbudget.DEFAULT_MEMORY_MB,
-        ge=64,
-        description='memory of the machine, in MB; limits what clients hold',
+        ge=1,
+        description='memory of the machine, in MB; limits what clients hold;'
+        ' the default when unknown',
     )
     max_descriptors: int = pydantic.Field(
         default=clientbudget.DEFAULT_DESCRIPTORS,
-        ge=128,
+        ge=1,
         description='descriptors that the process may open; limits the'
-        ' connections of clients',
+        ' connections of clients; the default when unknown',
     )
     bounds: str = pydantic.Field(
         default='',
@@ -130,8 +131,8 @@
     )
     @classmethod
     def accept_unknown_size(cls, value, info):
-        """Return the default for an empty string."""
-        if value == '':
+        """Return the default for an empty string and for 0."""
+        if value in ('', '0', 0):
             return cls.model_fields[info.field_name].default
         return value
 
--- a/sesamejunction/decisions/clientbudget.py
+++ b/sesamejunction/decisions/clientbudget.py
@@ -68,7 +68,7 @@
         return max(16, min(1024, self.connections[kind] // 4))
 
 
-def derive_limits(memory_mb: int, descriptors: int) -> Limits:
+def derive_limits(memory_mb: float, descriptors: int) -> Limits:
     """Return the limits for a machine's memory and a process's descriptors."""
     free_bytes = int((memory_mb * MEBIBYTE - NODE_BYTES) * CLIENT_PART)
     return Limits(
--- a/standins/keyserver.py
+++ b/standins/keyserver.py
@@ -34,6 +34,7 @@
         # Share of the requests that run and get no answer.
         self.lost_share = 0.0
         self.response_body = b'whole'
+        self.response_status = 200
         # Requests whose connection was closed while they were running.
         self.aborted_requests = 0
         self.holds = []
@@ -75,7 +76,11 @@
         if request.transport is not None and random.random() < self.lost_share:
             request.transport.abort()
         headers['X-Response-Signature'] = 'signed'
-        return web.Response(body=self.response_body, headers=headers)
+        return web.Response(
+            status=self.response_status,
+            body=self.response_body,
+            headers=headers,
+        )
 
     def is_held(self, key: int) -> bool:
         """Return whether the server holds a key at this moment."""
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -386,6 +386,20 @@
             assert found[0] == expected
 
 
+async def test_status_that_is_none_counts_as_a_lost_answer():
+    """Guards against odd statuses at callers, and orders that run twice."""
+    async with Fleet() as fleet:
+        for machine in fleet.machines:
+            machine.server.response_status = 999
+            machine.server.received_requests.clear()
+        lookups, orders = fleet.machines[:3], fleet.machines[3]
+        assert (await fleet.call(orders, '/order/1', method='POST'))[0] == 502
+        assert len(orders.server.received_requests) == 1
+        assert (await fleet.call(orders, '/look/x', 7))[0] == 502
+        runs = [len(one.server.received_requests) for one in lookups]
+        assert sum(runs) == 2
+
+
 async def test_large_upload_passes_two_nodes_whole():
     """Guards against lost, duplicated or reordered parts of a body."""
     async with Fleet() as fleet:
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -698,6 +698,26 @@
     assert hostedsettings.read_hosted_settings({}).line_mbps == mbps
 
 
+@pytest.mark.parametrize(
+    ('memory', 'descriptors', 'expected'),
+    [
+        ('512', '8192', (512, 8192)),
+        ('200.5', '64', (200.5, 64)),
+        ('', '', (200, 4096)),
+        ('0', '0', (200, 4096)),
+        (None, None, (200, 4096)),
+    ],
+)
+def test_unknown_size_of_a_machine_is_accepted(
+    memory, descriptors, expected, monkeypatch
+):
+    # Guards against a node that does not start because the platform states no
+    # size of its machine.
+    set_variables(monkeypatch, MEMORY_MB=memory, MAX_DESCRIPTORS=descriptors)
+    found = hostedsettings.read_hosted_settings({})
+    assert (found.memory_mb, found.max_descriptors) == expected
+
+
 BAD_SETTINGS = {
     'no port': ({'CALLERS': '10.0.0.1'}, '--callers'),
     'port out of range': ({'TARGET': '10.0.0.1:99999'}, '--target'),
