--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -123,6 +123,10 @@
             'heartbeats_refused_total',
             'Heartbeats that named no usable target, by the odd field',
         )
+        self.clients_refused = self._add_counts(
+            'clients_refused_total',
+            'Clients that were refused or closed, by reason, port, address',
+        )
         self.declarations_unreadable = self._add_counts(
             'declarations_unreadable_total',
             'Parts of configurations that could not be read, by part',
@@ -187,6 +191,9 @@
                 ('answer_held_bytes', 'Large answers expected or held'),
                 ('answer_left_bytes', 'Of these, still to leave'),
                 ('answers_open', 'Large answers that are leaving'),
+                ('clients_connected', 'Connections of clients'),
+                ('clients_held_bytes', 'Memory held for clients'),
+                ('clients_paused', 'Clients that are not read for now'),
             )
         }
 
--- a/sesamejunction/border/targetconnections.py
+++ b/sesamejunction/border/targetconnections.py
@@ -9,6 +9,7 @@
 
 from sesamejunction.border import httpclient
 from sesamejunction.border import responselimits
+from sesamejunction.border import streamends
 from sesamejunction import errors
 
 CONNECT_TIMEOUT_S = 0.3
@@ -278,6 +279,7 @@
             and answer is not None
             and answer.status >= 200
             and answer.is_complete_at_close
+            and streamends.is_orderly(self.transport)
         ):
             self._accept_answer()
             self._deliver_answer()
@@ -313,7 +315,10 @@
 
     def on_headers_complete(self):
         """Record the status of a complete head."""
-        self._answer.status = self._parser.get_status_code()
+        status = self._parser.get_status_code()
+        if status not in responselimits.STATUSES:
+            self._abort_parsing('a status that is none')
+        self._answer.status = status
         self._has_head = True
 
     def on_body(self, body: bytes):
--- a/standins/keyserver.py
+++ b/standins/keyserver.py
@@ -36,6 +36,7 @@
         self.response_body = b'whole'
         # Value of the load header, None to send none.
         self.load = None
+        self.response_status = 200
         # Requests whose connection was closed while they were running.
         self.aborted_requests = 0
         self.holds = []
@@ -79,7 +80,11 @@
         headers['X-Response-Signature'] = 'signed'
         if self.load is not None:
             headers['X-Server-Load'] = self.load
-        return web.Response(body=self.response_body, headers=headers)
+        return web.Response(
+            status=self.response_status,
+            body=self.response_body,
+            headers=headers,
+        )
 
     def is_held(self, key: int) -> bool:
         """Return whether the server holds a key at this moment."""
--- a/test/test_fuzz.py
+++ b/test/test_fuzz.py
@@ -17,6 +17,8 @@
 import pydantic
 import pytest
 
+from sesamejunction.border import callermessages
+from sesamejunction.border import clients
 from sesamejunction.border import framing
 from sesamejunction.border import hostedsettings
 from sesamejunction.border import linkcodec
@@ -185,12 +187,12 @@
 
     async def handle(request):
         started.append(request)
-        return pipelinedhttp.CallerReply(200)
+        return callermessages.CallerReply(200)
 
     front, current = build_frontend()
-    server = pipelinedhttp.CallerServer(front.build_server()._ports)
-    server._ports.handle = handle
-    connection = pipelinedhttp.Connection(server._ports)
+    server_ports = front.build_server(clients.build_clients())._ports
+    server_ports.handle = handle
+    connection = pipelinedhttp.Connection(server_ports)
     transport = mock.Mock()
     transport.is_closing.return_value = False
     transport.get_write_buffer_size.return_value = 0
@@ -263,8 +265,8 @@
 
 def use_answer(reply):
     if isinstance(reply, requests.Answer):
-        encoded = pipelinedhttp.encode_reply(
-            pipelinedhttp.CallerReply(reply.status, reply.headers), False
+        encoded = callermessages.encode_reply_head(
+            callermessages.CallerReply(reply.status, reply.headers), False
         )
         assert 200 <= reply.status <= 599
         assert encoded.startswith(f'HTTP/1.1 {reply.status} '.encode())
--- a/test/test_pipelinedhttp.py
+++ b/test/test_pipelinedhttp.py
@@ -38,6 +38,8 @@
             await asyncio.sleep(SLOW_S)
         if path.startswith('/fail'):
             raise ValueError('a fault')
+        if path.startswith('/status'):
+            return pipelinedhttp.CallerReply(int(path.removeprefix('/status')))
         if path.startswith('/early'):
             return pipelinedhttp.CallerReply(401, (), b'early')
         body = b''
@@ -136,6 +138,14 @@
         upload('/early', 3, 0, 'Expect: 100-continue\r\n'),
         *([401], ['/early']),
     ),
+    'statuses that are none': (
+        ''.join(
+            request(f'/status{status}')
+            for status in (0, 99, 100, 101, 600, 999, 1000, -1, 599)
+        )
+        + LAST,
+        *([502] * 8 + [599, 200], None),
+    ),
     'behind a closing request': (LAST + request('/a'), [200], ['/last']),
     'old version': ('GET /a HTTP/1.0\r\n\r\n', [200], ['/a']),
     'fault of the handler': (request('/fail') + LAST, [500, 200], None),
@@ -155,6 +165,9 @@
     'long head': (
         *(request('/a', fields=f'X: {"x" * HEAD_LIMIT}\r\n'), [431], []),
     ),
+    'short lines up to the limit': (
+        *(request('/a', fields='a:\r\n' * 480 + CLOSE), [200], ['/a']),
+    ),
     'endless head': ('GET /a HTTP/1.1\r\nX: ' + 'x' * 99_999, [431], []),
     'long body': (
         *(upload('/up', BODY_LIMIT + 1) + LAST, [413, 200], ['/up', '/last']),
