Read the era of the store and restore what it has lost

The store may come back from an older copy and give out offsets again, so that fences of key ranges would repeat. Positions now order by era first, and the planner writes plans, allocators and the secret again before any node grants by the records of the new era.

--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -131,6 +131,14 @@
             'key_rows_granted_total',
             'Key ranges granted to the target after a change',
         )
+        self.era_events = self._add_counts(
+            'store_era_events_total',
+            'New eras of the store, late and unreadable ones, by event',
+        )
+        self.facts_restored = self._add_counts(
+            'facts_restored_total',
+            'Records written again after the store came back',
+        )
         self._times = {
             name: self._add_times(name, help_text)
             for name, help_text in (
@@ -152,6 +160,7 @@
                 ('declared_version', 'Version of the declarations'),
                 ('declared_age_seconds', 'Age of the declarations copy'),
                 ('plan_age_seconds', 'Age of the copy of the key plans'),
+                ('store_era', 'Latest known era of the store'),
                 ('hold_margin_seconds', 'Time left of the latest hold'),
                 ('link_sent_bytes', 'Sent to other nodes since the start'),
                 ('link_received_bytes', 'Received from other nodes'),
--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -157,6 +157,8 @@
             return linking.LoadQuestion(number)
         case registry.AskNews(topic=topic, end=end, wait_s=wait_s):
             return linking.NewsQuestion(number, topic, end, int(wait_s * 1e3))
+        case registry.AskFloor(era=era, end=end):
+            return linking.FloorQuestion(number, era, end)
 
 
 def decode_question_reply(frame):
--- a/sesamejunction/border/registrycodec.py
+++ b/sesamejunction/border/registrycodec.py
@@ -1,5 +1,6 @@
 """Encodes and decodes the records of the fleet's keyed topic."""
 
+import dataclasses
 import ipaddress
 import re
 
@@ -16,6 +17,7 @@
     'allocators': state.Allocators,
     'planner': state.ActivePlanner,
     'secret': registry.SecretRecord,
+    'era': registry.EraRecord,
 }
 DECODERS = {
     kind: msgspec.msgpack.Decoder(record_type)
@@ -43,15 +45,54 @@
             return 'planner'
         case registry.SecretRecord():
             return 'secret'
+        case registry.EraRecord():
+            return 'era'
 
 
-def encode_record(record: registry.Record) -> bytes:
-    """Return the stored value of a record; empty to delete it."""
-    if isinstance(record, registry.MemberGone):
-        return b''
+# Begin of the keys of members.
+MEMBER_PREFIX = 'member/'
+
+
+class EraMark(msgspec.Struct):
+    """The era in which a record was decided on, which a plan tells."""
+
+    era: int = 0
+
+
+MARK_DECODER = msgspec.msgpack.Decoder(EraMark)
+
+
+def encode_record(record: registry.Record, era: int = 0) -> bytes:
+    """Return the stored value of a record; empty to delete it.
+
+    Plans and allocators also tell ``era``, in which they were decided on,
+    unless it is the first one: records of earlier versions have no such field.
+    """
+    match record:
+        case registry.MemberGone():
+            return b''
+        case registry.PlanRecord() | state.Allocators() if era:
+            fields = {
+                field.name: getattr(record, field.name)
+                for field in dataclasses.fields(record)
+            }
+            return ENCODER.encode({**fields, 'era': era})
     return ENCODER.encode(record)
 
 
+def decode_era(item: registry.TopicItem | None) -> registry.EraRecord | None:
+    """Return the record of the era, None if there is none to be read."""
+    try:
+        return item and decode_record('era', item.value)
+    except errors.CodecError:
+        return None
+
+
+def decode_mark(value: bytes) -> int:
+    """Return the era in which a plan or allocators were decided on."""
+    return MARK_DECODER.decode(value).era
+
+
 def decode_record(key: str, value: bytes) -> registry.Record:
     """Return the record.
 
--- a/sesamejunction/decisions/rangeleases.py
+++ b/sesamejunction/decisions/rangeleases.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from sesamejunction.decisions import eras
 from sesamejunction.model import leasing
 from sesamejunction.model import ranges
 
@@ -105,9 +106,25 @@
         self._freed_ranges = []
         self._former = {}
         self._plan = ranges.RangePlan(())
+        self._rights = eras.Rights(eras.covers_keys)
+        # That of the latest renewal.
+        self._as_of = float('-inf')
         self._seen_at = {}
         self._released = {}
 
+    def take_era(self, phase, end: int) -> None:
+        """Adopt the phase of the store's era; before a plan of that era."""
+        self._rights.take_era(phase, end, self._plan.ranges)
+
+    def list_refused(self) -> frozenset[ranges.Range]:
+        """Return the owned ranges that are never granted by their epoch."""
+        return frozenset(
+            key_range
+            for key_range in self.list_owned()
+            if self._rights.is_refused(key_range)
+            and not self._is_held(key_range)
+        )
+
     def take_plan(self, plan: ranges.RangePlan, now: float) -> None:
         """Adopt a new range plan of the target's service."""
         self._plan = plan
@@ -228,6 +245,7 @@
 
     def renew(self, as_of: float, now: float) -> leasing.Renewal:
         """Return the grant that answers the latest heartbeat."""
+        self._as_of = as_of
         hold_s = compute_hold_seconds(as_of, now)
         if self.life is None or hold_s < SHORTEST_HOLD_S:
             return leasing.Renewal()
@@ -317,12 +335,14 @@
         """Return whether the claimed keys are released, with handovers.
 
         They are not before this node has read the plan of the claim, as it may
-        grant them again by an older plan.
+        grant them again by an older plan. A plan that the store has lost is
+        never read: its claims stay open.
         """
         current = self._plan.find(claim.first)
         if (
             current is None
             or current.epoch < claim.epoch
+            or eras.is_older(claim.epoch, current.epoch)
             or not self._is_hold_over(claim, now)
         ):
             return leasing.ReleaseResult(False)
@@ -360,11 +380,13 @@
 
     def _is_settled(self, key_range: ranges.Range, now: float) -> bool:
         """Return whether no former owner can hold the keys any more."""
+        if not self._rights.may_use(key_range):
+            return self._is_held(key_range)
         if not key_range.previous:
             return True
-        if (
-            now - self._seen_at.get(key_range.epoch, now)
-            >= FORMER_OWNER_WAIT_S
+        seen_at = self._seen_at.get(key_range.epoch, now)
+        if now - seen_at >= FORMER_OWNER_WAIT_S and eras.is_confirmed(
+            seen_at, self._as_of
         ):
             return True
         if self._is_held(key_range):
--- a/sesamejunction/decisions/registry.py
+++ b/sesamejunction/decisions/registry.py
@@ -31,6 +31,7 @@
         offset: int,
         declared_end: int = -1,
         unreadable: collections.abc.Set[str] = frozenset(),
+        era_phase: state.EraPhase = state.EraPhase.OPEN,
     ) -> state.State:
         """Return the state described by the newest records and declarations.
 
@@ -81,6 +82,7 @@
             allocators=allocators,
             planner=planner,
             unreadable=unreadable,
+            era_phase=era_phase,
             **built,
             **self._build_declared(declared),
         )
--- a/sesamejunction/errors.py
+++ b/sesamejunction/errors.py
@@ -48,6 +48,10 @@
     """The append may or may not have succeeded; only the log can tell."""
 
 
+class EraUnreadable(LogUnavailable):
+    """An answer of the log names an era that is no usable number."""
+
+
 class RetentionGap(SesameError):
     """The log has deleted records that the reader has not applied yet."""
 
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -195,6 +195,22 @@
     as_of_s: float
 
 
+class FloorQuestion(Frame, tag=26):
+    """Requests the newest facts of earlier eras, as registry.AskFloor.
+
+    It is sent on the connection for large bodies only, as NewsQuestion.
+    """
+
+    era: int
+    end: int
+
+
+class FloorReply(Frame, tag=27):
+    """Answers FloorQuestion."""
+
+    body: registry.FloorAnswer | None
+
+
 FRAMES = (
     Hello
     | Work
@@ -215,6 +231,8 @@
     | BodyPart
     | NewsQuestion
     | NewsReply
+    | FloorQuestion
+    | FloorReply
 )
 REPLIES = (
     WorkAnswer,
@@ -223,5 +241,6 @@
     CopyReply,
     LoadReply,
     NewsReply,
+    FloorReply,
     Pong,
 )
--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -8,6 +8,44 @@
 from sesamejunction.model import state
 
 
+# The era that stores without eras are in. An era below it is not possible.
+FIRST_ERA = 0
+# Offsets of one era take the low bits of a packed position: ten records a
+# second fill them in 13 years.
+OFFSET_BITS = 32
+# Epochs, which are packed positions, must stay exact as JSON numbers.
+MAX_ERA = (1 << 20) - 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A place in a topic: the era of the store and the offset in it.
+
+    Offsets are given out again in each era, so positions are compared by era
+    first. Packed positions are numbers with the same order; ends and offsets
+    of copies, news and echoes, and epochs are such numbers. Those of the
+    first era are the offsets themselves.
+    """
+
+    era: int
+    offset: int
+
+    def pack(self) -> int:
+        """Return the position as a number."""
+        return (self.era - FIRST_ERA << OFFSET_BITS) + self.offset
+
+    @classmethod
+    def unpack(cls, packed: int) -> 'Position':
+        """Return the position of a number."""
+        rank, offset = divmod(packed, 1 << OFFSET_BITS)
+        return cls(rank + FIRST_ERA, offset)
+
+
+def find_era(packed: int) -> int:
+    """Return the eras before a packed position; 0 in the first one."""
+    return max(0, packed) >> OFFSET_BITS
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class MemberRecord:
     """Registration of a node and its local target.
@@ -51,6 +89,18 @@
     name: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EraRecord:
+    """Tells that the facts of earlier eras are in the topic again.
+
+    ``era`` counts from 0 for the first one. ``is_open`` is set when no grant
+    that was based on an earlier era is valid any more.
+    """
+
+    era: int
+    is_open: bool
+
+
 Record = (
     MemberRecord
     | PlanRecord
@@ -58,6 +108,7 @@
     | state.ActivePlanner
     | SecretRecord
     | MemberGone
+    | EraRecord
 )
 
 
@@ -113,17 +164,6 @@
     copy: TopicCopy
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Position:
-    """A follower's end offset, last known to be current at ``as_of``.
-
-    ``as_of`` is in boot-clock seconds.
-    """
-
-    end: int
-    as_of: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerPosition:
     """Reports a peer's end offset, which was current at ``as_of`` or later."""
@@ -141,6 +181,37 @@
     end: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EraChanged:
+    """Reports that the store is in a later era than was known.
+
+    ``era`` counts from 0 for the first one.
+    """
+
+    era: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AskFloor:
+    """Requests the newest facts of earlier eras that a node knows.
+
+    ``era`` is the present one. The facts are left out of the reply, a
+    FloorAnswer, if the node's copy ends at ``end`` or before.
+    """
+
+    era: int
+    end: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FloorAnswer:
+    """Answers AskFloor; ``age_s`` is that of the copy of earlier eras."""
+
+    end: int
+    age_s: float
+    items: collections.abc.Mapping[str, TopicItem]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AppendFailed:
     """Reports that an append failed or had no valid reply."""
--- a/sesamejunction/model/state.py
+++ b/sesamejunction/model/state.py
@@ -199,6 +199,19 @@
     round: int
 
 
+class EraPhase(enum.Enum):
+    """What is known of the records that the store may have lost.
+
+    After LOST, the records of earlier eras are missing or not checked. After
+    RESTORED they are in the topic again, but grants of lost plans may still
+    be valid.
+    """
+
+    OPEN = 'open'
+    LOST = 'lost'
+    RESTORED = 'restored'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class State:
     """State folded from all log records before ``offset``.
@@ -217,7 +230,7 @@
     this node cannot read, where an earlier record may still hold.
     ``declared_end`` is the end offset of the topic that the declarations were
     read from, ``declared_version`` the operator's version number of them, 0
-    before the first.
+    before the first. ``era_phase`` is that of the store's present era.
     """
 
     offset: int = 0
@@ -268,3 +281,4 @@
     limits: routing.Limits = routing.Limits()
     declared_version: int = 0
     declared_end: int = -1
+    era_phase: EraPhase = EraPhase.OPEN
--- a/sesamejunction/platform/store.py
+++ b/sesamejunction/platform/store.py
@@ -3,12 +3,14 @@
 import asyncio
 import base64
 import contextlib
+import dataclasses
 import struct
 import urllib.parse
 
 import aiohttp
 import msgspec
 
+from sesamejunction.border import eraview
 from sesamejunction import errors
 from sesamejunction.model import registry
 
@@ -23,6 +25,8 @@
 # waits behind other traffic, so each consecutive failure doubles the timeout.
 CONNECT_TIMEOUT_S = 0.5
 MAX_CONNECT_TIMEOUT_S = 2.0
+# Longer numbers are no eras.
+MAX_ERA_DIGITS = 10
 # Of an answer that is an error, this much is quoted in log lines.
 MAX_REASON_BYTES = 200
 # Answers to an append that the store will give to the same record again.
@@ -30,6 +34,8 @@
 LENGTH = struct.Struct('>I')
 POSITIONS = struct.Struct('>QQ')
 CONNECT_ERRORS = (aiohttp.ConnectionTimeoutError, aiohttp.ClientConnectorError)
+# Every answer names the era of the store in this header, if the store has any.
+ERA_HEADER = 'Store-Era'
 OPERATOR_TOPIC = 'keyed.op'
 FLEET_TOPIC = 'keyed.sesamejunction'
 
@@ -56,15 +62,35 @@
     offset: int
 
 
+def parse_era(text: str | None) -> int | None:
+    """Return the eras before that of a header, None without a header.
+
+    Raises EraUnreadable unless the header is a whole number in range.
+    """
+    if text is None:
+        return None
+    is_number = text.isascii() and text.isdigit()
+    if is_number and len(text) <= MAX_ERA_DIGITS:
+        era = int(text) - registry.FIRST_ERA
+        if 0 <= era <= registry.MAX_ERA:
+            return era
+    raise errors.EraUnreadable(
+        f'{ERA_HEADER} is {text[:MAX_REASON_BYTES]!r}, not a whole number up '
+        f'to {registry.MAX_ERA}; check the store and what is in between'
+    )
+
+
 class Store(contextlib.AsyncExitStack):
     """HTTP connections to the store.
 
-    ``count`` is called with the outcome of each call.
+    ``count`` is called with the outcome of each call. ``eras`` is the view of
+    the store's era that all clients of this process share.
     """
 
-    def __init__(self, address: str, count):
+    def __init__(self, address: str, count, eras=None):
         super().__init__()
         self._count = count
+        self.eras = eras or eraview.EraView()
         self._base_url = f'http://{address}'
         self._session = None
         self._connect_s = CONNECT_TIMEOUT_S
@@ -112,7 +138,9 @@
                 ) as reply,
             ):
                 self._connect_s = CONNECT_TIMEOUT_S
+                self._check_era(reply.headers.get(ERA_HEADER), path)
                 body = await self._read_body(reply, limit)
+                self._check_era(reply.headers.get(ERA_HEADER), path)
                 self._count(str(reply.status))
                 return reply.status, body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -126,6 +154,27 @@
                 f'address and the network'
             ) from error
 
+    def _check_era(self, header, path) -> None:
+        """Learn the era of an answer.
+
+        Raises AppendOutcomeUnknown for an answer of an earlier era, which has
+        come late, and EraUnreadable.
+        """
+        try:
+            era = parse_era(header)
+        except errors.EraUnreadable as error:
+            self._count('era-unreadable')
+            self.eras.note_unreadable(str(error))
+            raise
+        if self.eras.learn(era or 0, 'an answer of the store'):
+            return
+        self._count('late')
+        self.eras.note_late(path)
+        raise errors.AppendOutcomeUnknown(
+            f'the answer of the store to {path} is of an earlier era; read '
+            f'the newest records'
+        )
+
     def _build_timeout(self) -> aiohttp.ClientTimeout:
         return aiohttp.ClientTimeout(total=None, sock_connect=self._connect_s)
 
@@ -143,7 +192,11 @@
 
 
 class Topic:
-    """One keyed topic of the store."""
+    """One keyed topic of the store.
+
+    Offsets and ends are packed positions: those of the store in its first
+    era, and above all earlier ones in each later era.
+    """
 
     def __init__(self, store: Store, name: str):
         self._store = store
@@ -162,6 +215,7 @@
         LogUnavailable.
         """
         items, end, after = {}, None, None
+        era = None
         while True:
             query = {'topic': self.name, 'part': 0}
             if after is not None:
@@ -169,22 +223,32 @@
             status, body = await self._store.call(
                 'GET', '/log-newest', CALL_TIMEOUT_S, query
             )
+            era = self._check_same_era(era)
             page = self._decode(status, body, NewestPage)
             for item in page.items:
                 items[item.key] = registry.TopicItem(
-                    item.offset, base64.b64decode(item.value)
+                    pack_offset(era, item.offset),
+                    base64.b64decode(item.value),
                 )
                 after = item.key
-            end = page.end if end is None else min(end, page.end)
+            page_end = pack_offset(era, page.end)
+            end = page_end if end is None else min(end, page_end)
             if not page.hasMore or not page.items:
                 return registry.TopicCopy(end, items)
 
     async def read(self, offset: int, wait_s: float) -> registry.TopicBatch:
         """Return the records from an offset; waits up to ``wait_s`` for one.
 
-        Raises RetentionGap when the offset is no longer kept, otherwise
-        LogUnavailable.
+        Raises RetentionGap when the offset is no longer kept or of an earlier
+        era, otherwise LogUnavailable.
         """
+        position = registry.Position.unpack(offset)
+        era = registry.find_era(offset)
+        if era != self._store.eras.current:
+            raise errors.RetentionGap(
+                f'offset {position.offset} of {self.name} is of era '
+                f'{position.era}; read the newest records'
+            )
         status, body = await self._store.call(
             'GET',
             '/log-read',
@@ -192,7 +256,7 @@
             {
                 'topic': self.name,
                 'part': 0,
-                'from': offset,
+                'from': position.offset,
                 'waitMs': int(wait_s * 1000),
             },
         )
@@ -201,8 +265,10 @@
                 f'{self.name} no longer keeps offset {offset}; read the '
                 f'newest records'
             )
+        self._check_same_era(era, errors.RetentionGap)
         self._raise_for_status(status, body)
-        return decode_records(body)
+        batch = decode_records(body)
+        return dataclasses.replace(batch, end=pack_offset(era, batch.end))
 
     async def append(self, entry, end=None) -> int:
         """Append a record and return its offset.
@@ -212,11 +278,18 @@
         LogUnavailable.
         """
         query = {'topic': self.name, 'part': 0}
+        era = self._store.eras.current
         if end is not None:
-            query['asOf'] = end
+            if registry.find_era(end) != era:
+                raise errors.AppendConflict(
+                    f'{self.name} is in a later era than {end}; read the '
+                    f'newest records and retry'
+                )
+            query['asOf'] = registry.Position.unpack(end).offset
         status, body = await self._store.call(
             'POST', '/log-append', CALL_TIMEOUT_S, query, encode_entry(entry)
         )
+        self._check_same_era(era)
         if status == 412:
             raise errors.AppendConflict(
                 f'{self.name} does not end at {end}; read on and retry'
@@ -226,12 +299,22 @@
                 f'the store answered {status} ({quote_reason(body)}) to a '
                 f'record of {len(entry.value)} bytes; make it smaller'
             )
-        return self._decode(status, body, Appended).offset
+        return pack_offset(era, self._decode(status, body, Appended).offset)
 
     async def reconnect(self) -> None:
         """Replace open connections, which may be dead."""
         await self._store.reconnect()
 
+    def _check_same_era(self, era, error=errors.AppendOutcomeUnknown) -> int:
+        """Return the present era; raises the error if it is another."""
+        current = self._store.eras.current
+        if era not in (None, current):
+            raise error(
+                f'the store has come back from an older copy during a call '
+                f'for {self.name}; read the newest records'
+            )
+        return current
+
     def _decode(self, status, body, kind):
         self._raise_for_status(status, body)
         try:
@@ -249,6 +332,11 @@
             )
 
 
+def pack_offset(era: int, offset: int) -> int:
+    """Return the packed position of an offset; ``era`` counts from 0."""
+    return registry.Position(era + registry.FIRST_ERA, offset).pack()
+
+
 def quote_reason(body: bytes) -> str:
     """Return the begin of an answer that is an error, for a log line."""
     return body[:MAX_REASON_BYTES].decode('utf-8', 'replace')
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -6,6 +6,7 @@
 
 import eliot
 
+from sesamejunction.border import eraview
 from sesamejunction.border import logs
 from sesamejunction.decisions import polls
 from sesamejunction.decisions import readstalls
@@ -108,8 +109,12 @@
         count_dropped,
         sources=None,
         apply_s=polls.DEFAULT_APPLY_S,
+        eras=None,
     ):
         super().__init__()
+        self._eras = eras or eraview.EraView()
+        # That in which the read in progress was sent.
+        self._read_era = 0
         self._renewal_age_s = polls.compute_renewal_age(apply_s)
         self._sources = sources
         # Source of the read in progress, and the source of the next one in
@@ -151,7 +156,14 @@
         match message:
             case registry.PeerPosition():
                 self._compare_position(message)
+            case registry.EraChanged(era=era):
+                # Other nodes pass the new era on to those that ask them.
+                is_peer = isinstance(self._source, deciding.ReadPeer)
+                if self._read_era < era and not is_peer:
+                    self._restart_read()
             case registry.TakeCopy(copy=copy, as_of=as_of):
+                if not self._learn_era(copy.end):
+                    return
                 if self._copy is None or copy.end > self._copy.end:
                     self._replace_whole(copy)
                     self._advance_as_of(as_of)
@@ -168,6 +180,15 @@
             case registry.AskNews():
                 return self._take_question(message)
 
+    @property
+    def copy(self) -> registry.TopicCopy | None:
+        """Return the present copy."""
+        return self._copy
+
+    def _learn_era(self, end: int) -> bool:
+        """Learn the era of a peer's position; return False for an old one."""
+        return self._eras.learn(registry.find_era(end), 'another node')
+
     def start_with(self, copy, as_of) -> None:
         """Begin with a copy that was read from the log; before ``run``."""
         self._replace_whole(copy)
@@ -304,7 +325,11 @@
             registry.AskNews(self.topic_name, self._copy.end, NEWS_WAIT_S),
         )
         news = answer.news
-        if news is None or news.end < self._copy.end:
+        if (
+            news is None
+            or news.end < self._copy.end
+            or not self._learn_era(news.end)
+        ):
             raise errors.PeerUnavailable(
                 'the peer is behind or cannot reach the log; ask another'
             )
@@ -343,6 +368,7 @@
 
     def _take_question(self, question) -> asyncio.Future:
         """Return the future of the NewsAnswer to a peer."""
+        self._learn_era(question.end)
         loop = asyncio.get_running_loop()
         asker = Asker(
             question.end,
@@ -386,6 +412,7 @@
 
     async def _read(self) -> bool:
         """Read once; return whether it brought records."""
+        self._read_era = self._eras.current
         sent_at = self._read_since = clock.read_boot_clock()
         self._received_before = self._topic.received
         self._stall_detector.note_sent(sent_at, self._topic.received)
@@ -403,6 +430,7 @@
             copy = await self._topic.read_newest()
             if copy.end >= self._copy.end:
                 self._replace_whole(copy)
+                self._advance_as_of(sent_at)
             return True
         # A peer's copy, adopted in the meantime, may contain some entries.
         already_folded = self._copy.end - offset
@@ -470,6 +498,7 @@
     def _compare_position(self, position) -> None:
         if self._copy is None:
             return
+        self._learn_era(position.end)
         if position.end <= self._copy.end:
             # The peer's copy was current at that time, and this one is not
             # older.
@@ -513,6 +542,10 @@
         received = self._topic.received - self._received_before
         if self._stall_detector.is_behind or self._wait_s == 0.0 or received:
             return
+        self._restart_read()
+
+    def _restart_read(self) -> None:
+        """Replace the read in progress by one that returns at once."""
         if self._read_task is None or self._read_task.done():
             return
         self._skip_wait = True
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -226,7 +226,9 @@
         if member.incarnation == self._incarnation:
             return await self.answer_locally(message)
         # Copies and news of a topic are large and would delay small frames.
-        is_large = isinstance(message, (registry.GetCopy, registry.AskNews))
+        is_large = isinstance(
+            message, (registry.GetCopy, registry.AskNews, registry.AskFloor)
+        )
         link = await self._connect(member, is_large, ANSWER_IDLE_S)
         number, future = link.start_exchange()
         wait_s = 0.0
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -6,6 +6,7 @@
 import eliot
 
 from sesamejunction.border import registrycodec
+from sesamejunction.decisions import eras
 from sesamejunction.decisions import rangeplanning
 from sesamejunction.model import journaling
 from sesamejunction.model import leasing
@@ -69,9 +70,10 @@
     else has announced itself as planner in the log for PARTITION_WAIT_S.
 
     ``presence`` is the view of member liveness. ``registrar`` appends
-    proposals, of at most ``record_limit`` bytes. A proposal fails if the
-    fleet's topic has grown since the state was folded, so that of two
-    planners only one succeeds.
+    proposals, of at most ``record_limit`` bytes. ``list_refused`` returns the
+    ranges and rights of earlier eras of the store that are not used here. A
+    proposal fails if the fleet's topic has grown since the state was folded,
+    so that of two planners only one succeeds.
     """
 
     name = 'planner'
@@ -85,8 +87,10 @@
         registrar,
         links,
         record_limit: int = DEFAULT_RECORD_BYTES,
+        list_refused=frozenset,
     ):
         super().__init__()
+        self._list_refused = list_refused
         self._record_limit = record_limit - KEY_BYTES
         # Limit of the next plan of a service whose last one was rejected.
         self._range_limits = {}
@@ -130,13 +134,17 @@
         now = clock.read_boot_clock()
         is_planner = bool(current.members) and self._is_planner(now)
         self.tick_s = TICK_S if is_planner else IDLE_S
-        if not is_planner and not current.unreadable:
+        refused = self._list_refused()
+        if not is_planner and not current.unreadable and not refused:
+            return
+        if current.era_phase is state.EraPhase.LOST:
+            # What earlier plans have said is not in the topic yet.
             return
         if self._proposed_end == self._state.offset and now < self._retry_at:
             # The latest proposal was based on this state and is not read
             # yet.
             return
-        record = self._find_restoration()
+        record = self._find_restoration() or self._find_renewal(refused)
         if record is None and is_planner:
             self._request_loads(now)
             record = self._find_record(now)
@@ -276,6 +284,32 @@
                 return record
         return None
 
+    def _find_renewal(self, refused):
+        """Return a record with new epochs for what is refused here."""
+        current, epoch = self._state, self._state.offset + 1
+        for service, plan in current.ranges.items():
+            renewed = tuple(
+                dataclasses.replace(key_range, epoch=epoch, previous=())
+                if key_range in refused
+                else key_range
+                for key_range in plan.ranges
+            )
+            if renewed != plan.ranges:
+                return registry.PlanRecord(service, renewed)
+        places = current.allocators.places if current.allocators else ()
+        renewed = tuple(
+            dataclasses.replace(place, epoch=epoch, previous=(place.member,))
+            if eras.PlaceRight(number, place.epoch) in refused
+            else place
+            for number, place in enumerate(places)
+        )
+        return None if renewed == places else state.Allocators(renewed)
+
+    def plans(self) -> bool:
+        """Return whether this node is the planner."""
+        now = clock.read_boot_clock()
+        return bool(self._state.members) and self._is_planner(now)
+
     def _find_record(self, now):
         announcement = self._find_announcement(now)
         if announcement is not None:
@@ -340,7 +374,8 @@
             planned = rangeplanning.add_owners(
                 planned, lives, epoch, self._is_fresh
             )
-            if planned == plan.ranges:
+            is_open = current.era_phase is state.EraPhase.OPEN
+            if planned == plan.ranges and is_open:
                 planned = self._balance_load(
                     service, planned, lives, epoch, now
                 )
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -3,10 +3,12 @@
 import eliot
 
 from sesamejunction.border import registrycodec
+from sesamejunction.decisions import eras
 from sesamejunction.decisions import registry as folding
 from sesamejunction import errors
 from sesamejunction.model import journaling
 from sesamejunction.model import registry
+from sesamejunction.model import state
 from sesamejunction.tasks import actor
 
 # Delay before a failed registration is retried. It doubles with each failure
@@ -17,9 +19,17 @@
 IDLE_S = 10.0
 
 
+# Records that are only used if they were decided on in the present era.
+DECIDED = (registry.PlanRecord, state.Allocators)
+
+
 class Registry(actor.Actor):
     """Folds the fleet and operator topics into the state and publishes it.
 
+    When the store has come back from an older copy, the plans and allocators
+    that were known stay in force until they are in the topic again. So do
+    members and zones out of service that the topic lacks.
+
     ``read_declared`` decodes the operator's records. It returns the
     declarations and the evacuated availability zones; for records that it
     cannot decode it returns the previous values.
@@ -42,6 +52,11 @@
         self._evacuated = frozenset()
         self._end = 0
         self._declared_end = -1
+        # Where the first copy of the present era ended, and its phase.
+        self._era_start = 0
+        self._phase = state.EraPhase.OPEN
+        # Zones out of service that the topic has lost.
+        self._lost_zones = frozenset()
 
     async def handle(self, message):
         """Handle one message."""
@@ -54,26 +69,76 @@
                 self._publish()
 
     def _take_fleet(self, copy) -> None:
+        self._note_phase(copy)
         records, unreadable = {}, set()
         for key, item in copy.items.items():
             known = self._records.get(key)
+            if not self._is_usable(key):
+                continue
             if known is not None and known[0] == item.offset:
                 records[key] = known
                 continue
             try:
-                record = registrycodec.decode_record(key, item.value)
+                records[key] = item.offset, self._decode(copy, key, item)
             except errors.CodecError as error:
                 self._log_skipped(key, item, error)
                 unreadable.add(key)
-                if known is not None:
+                if known is not None and not eras.is_older(known[0], copy.end):
                     # What the key said before holds until a record that can
                     # be read replaces it.
                     records[key] = known
-                continue
-            records[key] = item.offset, record
+        if self._phase is not state.EraPhase.OPEN:
+            self._add_lost(records)
+        if self._phase is not state.EraPhase.LOST:
+            self._end = copy.end
         self._records = records
         self._unreadable = frozenset(unreadable)
-        self._end = copy.end
+
+    def _is_usable(self, key) -> bool:
+        """Return whether a key's record may be newer than what is known."""
+        is_lost = self._phase is state.EraPhase.LOST
+        return not is_lost or key.startswith(registrycodec.MEMBER_PREFIX)
+
+    def _decode(self, copy, key, item) -> registry.Record:
+        """Return a record; raises CodecError if it cannot be used."""
+        record = registrycodec.decode_record(key, item.value)
+        if isinstance(record, DECIDED):
+            mark = registrycodec.decode_mark(item.value)
+            if not eras.is_current_record(copy.end, mark):
+                raise errors.CodecError(
+                    f'record {key} was decided on before the store came back '
+                    f'from an older copy; it is written again'
+                )
+        return record
+
+    def _note_phase(self, copy) -> None:
+        end, item = copy.end, copy.items.get('era')
+        phase = eras.find_phase(end, registrycodec.decode_era(item))
+        era = registry.find_era(end)
+        if era != registry.find_era(self._era_start):
+            self._era_start = end
+        elif era:
+            phase = eras.find_later(self._phase, phase)
+        if phase is not self._phase:
+            eliot.log_message(
+                'journal: era phase',
+                phase=phase,
+                era=era + registry.FIRST_ERA,
+                end=end,
+            )
+        self._phase = phase
+
+    def _add_lost(self, records) -> None:
+        """Add what is known and may be missing in the topic for a while."""
+        is_lost = self._phase is state.EraPhase.LOST
+        for key, known in self._records.items():
+            is_member = isinstance(known[1], registry.MemberRecord)
+            if not (is_lost or is_member):
+                continue
+            found = records.get(key)
+            # Members write their records again before the plans are restored.
+            if found is None or (is_lost and found[0] < self._era_start):
+                records[key] = known
 
     def _log_skipped(self, key, item, error) -> None:
         """Log an unreadable record once."""
@@ -88,8 +153,16 @@
             )
 
     def _take_declared(self, copy) -> None:
+        is_later = registry.find_era(copy.end) > registry.find_era(
+            self._declared_end
+        )
         self._declared_end = copy.end
         declared, evacuated = self._read_declared(copy, self._declared)
+        if is_later:
+            self._lost_zones = self._evacuated
+        # The operator writes them again; then the topic holds.
+        self._lost_zones -= evacuated
+        evacuated |= self._lost_zones
         if evacuated != self._evacuated:
             eliot.log_message(
                 'journal: zones out', zones=sorted(evacuated), end=copy.end
@@ -122,6 +195,7 @@
             self._end,
             self._declared_end,
             self._unreadable,
+            self._phase,
         )
         changed = journaling.StateChanged(current)
         for subscriber in self._subscribers:
@@ -133,6 +207,7 @@
 
     A registration is retried until it is written, a proposal is not.
     ``follower`` is notified of appended proposals, and when an append fails.
+    The first copy of each era tells whether the registration is lost.
     """
 
     name = 'registrar'
@@ -156,6 +231,9 @@
                 await self._write_registration()
                 if self._registration != self._written:
                     self.tick_within(self._pause_s)
+            case registry.TopicChanged(copy=copy):
+                self._check_registration(copy)
+                await self._write_registration()
             case registry.Propose(record=record, end=end):
                 return await self._propose(record, end)
 
@@ -165,6 +243,15 @@
         is_written = self._registration == self._written
         self.tick_s = IDLE_S if is_written else self._pause_s
 
+    def _check_registration(self, copy) -> None:
+        """Note whether a copy of a new era lacks the registration."""
+        if self._written is None:
+            return
+        item = copy.items.get(registrycodec.build_record_key(self._written))
+        wanted = registrycodec.encode_record(self._written)
+        if item is None or item.value != wanted:
+            self._written = None
+
     async def _write_registration(self) -> None:
         wanted = self._registration
         if wanted is None or wanted == self._written:
@@ -219,6 +306,8 @@
     async def _append(self, record, end) -> int:
         entry = registry.Entry(
             registrycodec.build_record_key(record),
-            registrycodec.encode_record(record),
+            registrycodec.encode_record(
+                record, registry.find_era(end) if end is not None else 0
+            ),
         )
         return await self._topic.append(entry, end)
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -11,6 +11,7 @@
 from sesamejunction import errors
 from sesamejunction.model import journaling
 from sesamejunction.model import leasing
+from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.model import state
 from sesamejunction.tasks import actor
@@ -367,11 +368,17 @@
         self._publish()
         self._serve_claimants(clock.read_boot_clock())
 
+    def list_refused(self) -> frozenset[ranges.Range]:
+        """Return the owned ranges that are never granted by their epoch."""
+        return self._lease.list_refused()
+
     def _apply_state(self, current, now) -> None:
         before, self._state = self._state, current
-        if self._predecessor is None and current.offset > 0:
+        is_lost = current.era_phase is state.EraPhase.LOST
+        if self._predecessor is None and (current.offset > 0 or is_lost):
             self._load_predecessor(current)
         self._note_membership(current)
+        self._lease.take_era(current.era_phase, current.offset)
         service = self._identity.service
         plan = current.ranges.get(service)
         if plan is not None and plan != before.ranges.get(service):
--- a/sesamejunction/tasks/terms.py
+++ b/sesamejunction/tasks/terms.py
@@ -7,6 +7,7 @@
 
 import eliot
 
+from sesamejunction.decisions import eras
 from sesamejunction.decisions import rangeleases as deciding
 from sesamejunction import errors
 from sesamejunction.model import journaling
@@ -52,6 +53,7 @@
         self._links = links
         self._state = state.State()
         self._seen_at = {}
+        self._rights = eras.Rights()
         self._unconfirmed = {}
 
     async def handle(self, message):
@@ -74,7 +76,20 @@
                     former=member,
                 )
 
+    def list_refused(self) -> frozenset[eras.PlaceRight]:
+        """Return the rights to own places that are never used here."""
+        return frozenset(
+            right
+            for right, member in list_rights(self._state.allocators)
+            if member == self._incarnation and self._rights.is_refused(right)
+        )
+
     def _apply_state(self, current, now) -> None:
+        self._rights.take_era(
+            current.era_phase,
+            current.offset,
+            (right for right, _ in list_rights(self._state.allocators)),
+        )
         self._state = current
         self._predecessors |= {
             member.incarnation
@@ -135,18 +150,26 @@
             return owning.NotServing(None, 0)
         epoch = log_order.epoch
         seen_at = self._seen_at.get(epoch, now)
+        as_of = self._position.find_as_of(self._state.offset)
+        is_waited_out = (
+            now - seen_at >= deciding.FORMER_OWNER_WAIT_S
+            and eras.is_confirmed(seen_at, as_of)
+        )
         if (
-            self._unconfirmed.get(epoch)
-            and now - seen_at < deciding.FORMER_OWNER_WAIT_S
-        ):
+            self._unconfirmed.get(epoch) and not is_waited_out
+        ) or not self._may_use(slot, epoch):
             return owning.NotServing(None, epoch)
-        as_of = self._position.find_as_of(self._state.offset)
         end = as_of + deciding.AUTHORITY_S
         return owning.Serving(
             *(requests.Token(epoch, 0), end, end, time.time()),
             self._find_former_end(epoch),
         )
 
+    def _may_use(self, slot, epoch) -> bool:
+        allocators = self._state.allocators
+        place = slot % len(allocators.places) if allocators else 0
+        return self._rights.may_use(eras.PlaceRight(place, epoch))
+
     def _find_former_end(self, epoch) -> float | None:
         """Return when all former allocators of a place had ended, if known.
 
@@ -161,6 +184,14 @@
         return None
 
 
+def list_rights(allocators: state.Allocators | None):
+    """Return the right to each place with the member that has it."""
+    return [
+        (eras.PlaceRight(number, place.epoch), place.member)
+        for number, place in enumerate(allocators.places if allocators else ())
+    ]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TermReleased:
     """Reports that a former allocator has stopped."""
--- a/sesamejunction/ui/hostedqueries.py
+++ b/sesamejunction/ui/hostedqueries.py
@@ -14,9 +14,11 @@
     """Passes each query to the task that can answer it.
 
     ``followers`` read the topics that other nodes may copy from this one.
+    ``recovery`` knows the facts of earlier eras of the store.
     """
 
-    def __init__(self, lease, terms, scheduler, followers):
+    def __init__(self, lease, terms, scheduler, followers, recovery):
+        self._recovery = recovery
         self._lease = lease
         self._terms = terms
         self._scheduler = scheduler
@@ -51,6 +53,11 @@
                     return linking.LoadReply(frame.id, report)
                 case linking.CopyQuestion(topic=topic):
                     return await self._copy_topic(frame.id, topic)
+                case linking.FloorQuestion(era=era, end=end):
+                    answer = await self._recovery.ask(
+                        registry.AskFloor(era, end)
+                    )
+                    return linking.FloorReply(frame.id, answer)
                 case linking.NewsQuestion():
                     return await self._answer_news(frame)
                 case _:
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -7,6 +7,7 @@
 
 import eliot
 
+from sesamejunction.border import eraview
 from sesamejunction.border import hostedmetrics
 from sesamejunction.border import hostedsettings
 from sesamejunction.border import httpclient
@@ -17,6 +18,7 @@
 from sesamejunction.commands import bodies
 from sesamejunction.commands import hosting
 from sesamejunction.commands import ports as porting
+from sesamejunction.decisions import eras
 from sesamejunction import errors
 from sesamejunction.model import gating
 from sesamejunction.model import leasing
@@ -44,6 +46,7 @@
 from sesamejunction.tasks import linkserver
 from sesamejunction.tasks import presence
 from sesamejunction.tasks import rangeplanner
+from sesamejunction.tasks import recovery
 from sesamejunction.tasks import registrar
 from sesamejunction.tasks import scheduler
 from sesamejunction.tasks import shares
@@ -63,6 +66,23 @@
 NO_INCARNATION = 0
 
 
+def choose_first_record(
+    end: int, waited_s: float
+) -> registry.SecretRecord | registry.EraRecord | None:
+    """Return what a topic without a secret needs next; None for a wait.
+
+    A topic that is empty in a later era has lost nothing. Otherwise the nodes
+    that run may write their secret again.
+    """
+    position = registry.Position.unpack(end)
+    if position.era > registry.FIRST_ERA:
+        if not position.offset:
+            return registry.EraRecord(registry.find_era(end), is_open=True)
+        if position.offset > 1 and waited_s < eras.HOLD_MAX_S:
+            return None
+    return registry.SecretRecord(secrets.token_hex(SECRET_BYTES))
+
+
 class HostedComponents:
     """The tasks of one node and the clients that they use."""
 
@@ -75,20 +95,14 @@
         self._stopping = False
         self._metrics = hostedmetrics.HostedMetrics()
         self._usage = usage.ProcessUsage(usage.Traffic(), self._metrics)
+        self._eras = eraview.EraView(self._count_era)
 
     async def build(self, group) -> None:
         """Build and start all tasks; waits until the store answers."""
         enter = self._stack.enter_async_context
-        node_settings = self._settings
-        operator_store = await enter(
-            store.Store(node_settings.log, self._count_call)
-        )
-        fleet_store = await enter(
-            store.Store(node_settings.log, self._count_call)
-        )
-        write_store = await enter(
-            store.Store(node_settings.log, self._count_call)
-        )
+        operator_store = await enter(self._build_store())
+        fleet_store = await enter(self._build_store())
+        write_store = await enter(self._build_store())
         self._operator_topic = store.Topic(
             operator_store, store.OPERATOR_TOPIC
         )
@@ -102,12 +116,10 @@
         self._links.secret = secret
         self._build_views()
         self._build_communication(secret)
-        self._build_target(
-            registrar.Registrar(
-                store.Topic(write_store, store.FLEET_TOPIC), self._fleet
-            )
-        )
+        writable_topic = store.Topic(write_store, store.FLEET_TOPIC)
+        self._build_target(registrar.Registrar(writable_topic, self._fleet))
         self._build_state()
+        self._build_recovery(writable_topic)
         self._fleet.start_with(copy, copied_at)
         self._connections = await enter(
             targetconnections.TargetConnectionPool(*self._target_address())
@@ -121,6 +133,12 @@
         group.spawn(self._declared.follow())
         group.spawn(self._fleet.follow())
 
+    def _build_store(self) -> store.Store:
+        return store.Store(self._settings.log, self._count_call, self._eras)
+
+    def _count_era(self, event: str) -> None:
+        self._metrics.era_events.inc({'event': event})
+
     def _target_address(self):
         address = self._settings.parse_address('target')
         return address.host, address.port
@@ -134,6 +152,7 @@
         Also returns the copy of the fleet's topic that contains it, and the
         boot-clock time at which that was current.
         """
+        started_at = clock.read_boot_clock()
         while True:
             try:
                 copied_at = clock.read_boot_clock()
@@ -145,9 +164,13 @@
                     )
                     secret = bytes.fromhex(secret_record.secret)
                     return secret, copy, copied_at
-                record = registry.SecretRecord(secrets.token_hex(SECRET_BYTES))
+                record = choose_first_record(copy.end, copied_at - started_at)
+                if record is None:
+                    await asyncio.sleep(STORE_RETRY_INTERVAL_S)
+                    continue
                 entry = registry.Entry(
-                    'secret', registrycodec.encode_record(record)
+                    registrycodec.build_record_key(record),
+                    registrycodec.encode_record(record),
                 )
                 await self._fleet_topic.append(entry, copy.end)
             except errors.AppendConflict:
@@ -191,6 +214,7 @@
             count_dropped_read,
             sources,
             self._bounds.apply_s,
+            self._eras,
         )
         self._fleet = follower.Follower(
             self._fleet_topic,
@@ -198,6 +222,7 @@
             count_members,
             count_dropped_read,
             sources,
+            eras=self._eras,
         )
         self._fetchers = tuple(
             copyfetcher.CopyFetcher(topic_follower, self._links)
@@ -259,6 +284,7 @@
             self._registrar,
             self._links,
             node_settings.record_bytes,
+            lambda: self._lease.list_refused() | self._terms.list_refused(),
         )
         self._presence = presence.Presence(
             self._incarnation,
@@ -280,6 +306,18 @@
         )
         self._declared_subscribers.append(self._registry)
 
+    def _build_recovery(self, topic) -> None:
+        self._recovery = recovery.Recovery(
+            *(self._incarnation, self._fleet, topic, self._states),
+            *(self._presence_view, self._links, self._eras),
+            *(self._planner.plans, self._registrar),
+            lambda: self._metrics.facts_restored.inc({}),
+        )
+        self._declared_subscribers.append(self._recovery)
+        self._eras.subscribers += (
+            *(self._declared, self._fleet, self._recovery),
+        )
+
     def _build_request_path(self) -> None:
         node_settings = self._settings
         hosting_ports = hosting.Ports(
@@ -305,6 +343,7 @@
             self._terms,
             self._scheduler,
             (self._declared, self._fleet),
+            self._recovery,
         )
         self._links.answer_locally = query_handler.answer_local
         self._answer = query_handler.answer
@@ -381,6 +420,7 @@
             *self._fetchers,
             self._registry,
             self._registrar,
+            self._recovery,
             self._intake,
             *self._list_state_subscribers(),
         )
@@ -461,6 +501,7 @@
             'members_silent': len(self._presence_view.silent),
             'declared_version': self._states.current.declared_version,
             'declared_age_seconds': now - self._declared.view.as_of,
+            'store_era': self._eras.current + registry.FIRST_ERA,
             'plan_age_seconds': now - self._fleet.view.as_of,
             'hold_margin_seconds': self._lease.holdings.until - now,
             'link_sent_bytes': self._usage.traffic.sent,
--- a/test/storemodel.py
+++ b/test/storemodel.py
@@ -14,6 +14,7 @@
 import selectors
 import types
 
+from sesamejunction.border import eraview
 from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import sources
 from sesamejunction import errors
@@ -114,8 +115,9 @@
 class Calls:
     """Replaces platform.store.Store: the calls of one client."""
 
-    def __init__(self, log, line):
+    def __init__(self, log, line, eras):
         self.received = 0
+        self.eras = eras
         self._log = log
         self._line = line
 
@@ -207,8 +209,9 @@
         self.line = Line()
         self._fleet = fleet
         self._running = []
+        self.eras = eraview.EraView()
         self._topics = {
-            name: store.Topic(Calls(fleet.log, self.line), name)
+            name: store.Topic(Calls(fleet.log, self.line, self.eras), name)
             for name in (store.OPERATOR_TOPIC, store.FLEET_TOPIC)
         }
         self.view = presence.PresenceView()
@@ -230,7 +233,9 @@
             )
             for one in self._topics.values()
         )
-        appending = store.Topic(Calls(fleet.log, self.line), store.FLEET_TOPIC)
+        appending = store.Topic(
+            Calls(fleet.log, self.line, self.eras), store.FLEET_TOPIC
+        )
         self._registrar = registrar.Registrar(appending, self.followers[1])
         self.lease = targetlease.TargetLease(
             targetlease.Identity(
