--- a/standins/store.py
+++ b/standins/store.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import base64
+import bisect
 import collections
 import struct
+import time
 
 from aiohttp import web
 
@@ -23,6 +25,9 @@
         self.records = []
         self.first_offset = 0
         self.newest = {}
+        # When each record came, and the newest ones before them.
+        self._times = []
+        self._newest_before = {}
 
     @property
     def end(self) -> int:
@@ -38,10 +43,21 @@
         else:
             self.newest.pop(key, None)
         self.records.append(content)
+        self._times.append(time.monotonic())
 
     def drop_records(self) -> None:
         """Drop all records; the newest of each key can still be listed."""
         self.first_offset, self.records = self.end, []
+        self._times, self._newest_before = [], dict(self.newest)
+
+    def go_back(self, until: float) -> None:
+        """Forget the records that came later than a monotonic time."""
+        count = bisect.bisect_right(self._times, until)
+        kept, times = self.records[:count], self._times[:count]
+        self.records, self.newest = [], dict(self._newest_before)
+        for content in kept:
+            self.append(content)
+        self._times = times
 
 
 class Store:
@@ -51,7 +67,8 @@
     ``rejected_callers`` get 503, and their pending calls are aborted;
     ``callers_by_address`` maps the local address of a connection to the
     caller's name. The next ``lose_replies`` appends take effect but get no
-    reply.
+    reply. Answers name the ``era`` unless it is None. While ``away`` is set,
+    connections are closed without an answer.
     """
 
     def __init__(self):
@@ -60,6 +77,8 @@
         self.rejected_callers = set()
         self.callers_by_address = {}
         self.lose_replies = 0
+        self.era = None
+        self.away = False
         self.calls = collections.Counter()
         self._changed = asyncio.Condition()
 
@@ -71,16 +90,36 @@
         """Append a record without an HTTP call."""
         await self._append(topic, (encode_record(key, value),))
 
+    async def drill(self, age_s: float, away_s: float) -> None:
+        """Come back after ``away_s`` from a copy that was ``age_s`` old.
+
+        The offsets of forgotten records are given out again.
+        """
+        until = time.monotonic() - age_s
+        self.away = True
+        await asyncio.sleep(away_s)
+        async with self._changed:
+            for topic in self.topics.values():
+                topic.go_back(until)
+            self.era += 1
+            self.away = False
+            self._changed.notify_all()
+
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Answer one call."""
         self.calls[request.path] += 1
         if self.silent:
             await asyncio.sleep(3600)
+        era = self.era
         if self._is_rejected(request):
-            return web.Response(status=503)
-        reply = await self._dispatch(request)
-        if self._is_rejected(request):
+            reply = web.Response(status=503)
+        else:
+            reply = await self._dispatch(request)
+        # Calls under way end with the connection when the store goes away.
+        if self._is_rejected(request) or self.away or era != self.era:
             request.transport.abort()
+        if era is not None:
+            reply.headers['Store-Era'] = str(era)
         return reply
 
     def _is_rejected(self, request) -> bool:
@@ -132,7 +171,7 @@
                 await self._changed.wait_for(lambda: topic.end > offset)
         except TimeoutError:
             pass
-        if offset < topic.first_offset:
+        if offset < topic.first_offset or offset > topic.end:
             return web.json_response({'first': topic.first_offset}, status=410)
         body = POSITIONS.pack(topic.end, topic.first_offset)
         for content in topic.records[offset - topic.first_offset :]:
