--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -104,6 +104,8 @@
         self._moved_at = float('-inf')
         self._state = state.State()
         self._changed_at = clock.read_boot_clock()
+        # Since when each key's newest record cannot be read.
+        self._unreadable_since = {}
         self._silent_since = {}
         self._seen_at = {}
         self._lives = frozenset()
@@ -177,6 +179,10 @@
         if lives != self._lives:
             self._lives = lives
             self._changed_at = now
+        self._unreadable_since = {
+            key: self._unreadable_since.get(key, now)
+            for key in current.unreadable
+        }
         epochs = {
             planned_range.epoch
             for plan in current.ranges.values()
@@ -362,9 +368,10 @@
         if plan is None:
             # Owners of a plan that this node cannot read may hold keys until
             # their plan is too old, unless another node restores it before.
-            unreadable = f'plan/{service}' in current.unreadable
-            delay_s = rangeplanning.UNSETTLED_S if unreadable else 0.0
-            if now - self._changed_at < FIRST_PLAN_DELAY_S + delay_s:
+            since = self._unreadable_since.get(f'plan/{service}')
+            if since is not None and now - since < rangeplanning.UNSETTLED_S:
+                return None
+            if now - self._changed_at < FIRST_PLAN_DELAY_S:
                 return None
             planned = rangeplanning.plan_initial(lives, epoch)
         else:
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -383,6 +383,11 @@
         plan = current.ranges.get(service)
         if plan is not None and plan != before.ranges.get(service):
             self._lease.take_plan(plan, now)
+        elif (
+            plan is None and not is_lost and registry.find_era(current.offset)
+        ):
+            # A plan of an earlier era no longer holds.
+            self._lease.take_plan(ranges.RangePlan(()), now)
         out = current.zones.get(self._identity.zone) is state.Standing.OUT
         if out and self._zone_out_since is None:
             self._zone_out_since = now
