--- a/test/storemodel.py
+++ b/test/storemodel.py
@@ -14,6 +14,8 @@
 import selectors
 import types
 
+import msgspec
+
 from sesamejunction.border import eraview
 from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import sources
@@ -22,6 +24,7 @@
 from sesamejunction.model import packets
 from sesamejunction.model import ranges
 from sesamejunction.model import registry
+from sesamejunction.model import state
 from sesamejunction.platform import config
 from sesamejunction.platform import store
 from sesamejunction.tasks import clock
@@ -30,6 +33,7 @@
 from sesamejunction.tasks import link
 from sesamejunction.tasks import presence
 from sesamejunction.tasks import rangeplanner
+from sesamejunction.tasks import recovery
 from sesamejunction.tasks import registrar
 from sesamejunction.tasks import targetlease
 from sesamejunction.tasks import topicsources
@@ -98,6 +102,8 @@
         self.calls = collections.Counter()
         self.seconds = collections.Counter()
         self.bytes = 0
+        self.era = 0
+        self.times = collections.defaultdict(list)
 
     def count(self, kind):
         """Count a call by kind and second."""
@@ -107,9 +113,23 @@
     def append(self, topic, entry):
         """Append a record and end the long polls that wait for one."""
         self.records[topic].append(entry)
+        self.times[topic].append(clock.read_boot_clock())
+        self._wake(topic)
+        return len(self.records[topic]) - 1
+
+    def _wake(self, topic):
         self.changed[topic].set()
         del self.changed[topic]
-        return len(self.records[topic]) - 1
+
+    def drill(self, age_s):
+        """Come back from a copy that is ``age_s`` old; polls under way end."""
+        until = clock.read_boot_clock() - age_s
+        for topic, times in self.times.items():
+            count = sum(at <= until for at in times)
+            del self.records[topic][count:], times[count:]
+        self.era += 1
+        for topic in list(self.changed):
+            self._wake(topic)
 
 
 class Calls:
@@ -140,7 +160,12 @@
                 )
         ends = clock.read_boot_clock() + limit_s
         await asyncio.sleep(CALL_TAKES_S)
+        era = self._log.era
         status, body = await self._answer(path, query, data)
+        if era != self._log.era:
+            self._log.calls['lost'] += 1
+            raise errors.AppendOutcomeUnknown('no answer; check the network')
+        self.eras.learn(era, 'the model')
         if self._line.state != 'open':
             if self._line.state == 'silent':
                 await asyncio.sleep(max(0, ends - clock.read_boot_clock()))
@@ -173,10 +198,13 @@
                 return 200, json.dumps({'offset': offset}).encode()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(query['waitMs'] / 1000):
-                while len(records) <= query['from']:
+                era = self._log.era
+                while len(records) <= query['from'] and era == self._log.era:
                     if self._line.state == 'refused':
                         return 503, b''
                     await self._log.changed[topic].wait()
+        if query['from'] > len(records):
+            return 410, b'{}'
         body = store.POSITIONS.pack(len(records), 0)
         found = map(store.encode_entry, records[query['from'] :])
         return 200, body + b''.join(found)
@@ -247,6 +275,12 @@
         self._planner = rangeplanner.RangePlanner(
             *(self.name, self.incarnation, self.view, self._registrar, self)
         )
+        self.recovery = recovery.Recovery(
+            *(self.incarnation, self.followers[1], appending, self.states),
+            *(self.view, self, self.eras, self._planner.plans),
+            self._registrar,
+        )
+        self.eras.subscribers += (*self.followers, self.recovery)
         fetchers = tuple(
             copyfetcher.CopyFetcher(one, self) for one in self.followers
         )
@@ -259,10 +293,10 @@
             *(store.FLEET_TOPIC, config.OperatorTopicDecoder()),
             (self.states, *readers),
         )
-        self._subscribers.append(registering)
+        self._subscribers += (registering, self.recovery)
         self._tasks = (
             *(*self.followers, *fetchers, registering, self._registrar),
-            *readers,
+            *(self.recovery, *readers),
         )
 
     def _drop(self, _labels):
@@ -310,6 +344,12 @@
                 return await self.followers[place].ask(message)
             case leasing.AskRelease():
                 return await self.lease.ask(message)
+            case registry.AskFloor():
+                floor = await self.recovery.ask(message)
+                self._fleet.log.calls['floors'] += 1
+                size = len(msgspec.msgpack.encode(floor))
+                self._fleet.log.calls['floor bytes'] += size
+                return floor
         raise errors.PeerUnavailable('not modelled; ask another')
 
     async def run(self, begin_s):
@@ -549,6 +589,22 @@
     return steps
 
 
+async def drill(fleet):
+    """Lose the records of three seconds; return the time until all know."""
+    fleet.log.drill(3.0)
+    started = clock.read_boot_clock()
+    waits = []
+    for phase in (state.EraPhase.RESTORED, state.EraPhase.OPEN):
+        while not all(
+            one.states.current.era_phase is phase
+            and registry.find_era(one.states.current.offset) == fleet.log.era
+            for one in fleet.nodes
+        ):
+            await asyncio.sleep(0.02)
+        waits.append(clock.read_boot_clock() - started)
+    return waits
+
+
 async def refuse_zone(fleet):
     """Let the store refuse a whole zone while the config changes."""
     waits = []
@@ -596,6 +652,7 @@
     'one silent': cut_off('silent'),
     'large': write_large,
     'frozen readers': freeze_readers,
+    'drill': drill,
     'zone refused': refuse_zone,
     'readers refused': lose_readers('refused'),
     'readers silent': lose_readers('silent'),
