--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -26,6 +26,8 @@
 # A peer is answered before that if the copy is known to be current at a time
 # later by this.
 NEWS_PROGRESS_S = 0.5
+# Delay before a peer is asked again that does not know the era of the store.
+OLD_NEWS_PAUSE_S = 0.1
 # Longest part by which the clocks of two nodes differ in speed.
 CLOCK_DRIFT = 0.02
 # Interval of checks on the current read while a peer is ahead.
@@ -325,11 +327,11 @@
             registry.AskNews(self.topic_name, self._copy.end, NEWS_WAIT_S),
         )
         news = answer.news
-        if (
-            news is None
-            or news.end < self._copy.end
-            or not self._learn_era(news.end)
-        ):
+        if news is not None and not self._learn_era(news.end):
+            # The peer will soon have the records of the new era.
+            await asyncio.sleep(OLD_NEWS_PAUSE_S)
+            return
+        if news is None or news.end < self._copy.end:
             raise errors.PeerUnavailable(
                 'the peer is behind or cannot reach the log; ask another'
             )
--- a/standins/store.py
+++ b/standins/store.py
@@ -116,7 +116,8 @@
         else:
             reply = await self._dispatch(request)
         # Calls under way end with the connection when the store goes away.
-        if self._is_rejected(request) or self.away or era != self.era:
+        is_ended = self.away or era != self.era
+        if (self._is_rejected(request) or is_ended) and request.transport:
             request.transport.abort()
         if era is not None:
             reply.headers['Store-Era'] = str(era)
