--- a/sesamejunction/decisions/eras.py
+++ b/sesamejunction/decisions/eras.py
@@ -61,14 +61,13 @@
 class Outlook:
     """What the planner knows of the change of era; boot-clock seconds.
 
-    ``learnt_at`` is when it learnt of the present era, ``started_at`` when
-    its process started. After ``old_grants_s``, no grant that was based on
-    an older era is valid.
+    ``learnt_at`` is when its process learnt of the present era, at its start
+    or later. After ``old_grants_s``, no grant that was based on an older era
+    is valid.
     """
 
     floor: Floor
     learnt_at: float
-    started_at: float
     old_grants_s: float
 
 
@@ -80,7 +79,7 @@
     CONFIRMED_S, nobody can have waited out a former owner under it.
     """
     if outlook.floor.end <= 0:
-        is_over = now - outlook.started_at > HOLD_MAX_S
+        is_over = now - outlook.learnt_at > HOLD_MAX_S
         return Settlement.RENEW if is_over else Settlement.WAIT
     unknown_s = outlook.learnt_at - outlook.floor.as_of
     if unknown_s < CONFIRMED_S - CONFIRMED_MARGIN_S:
--- a/sesamejunction/tasks/recovery.py
+++ b/sesamejunction/tasks/recovery.py
@@ -26,6 +26,12 @@
 FACTS = ('plan', 'allocators', 'secret')
 
 
+# Above all ends: a question with it asks for no facts.
+ALL_KNOWN = registry.Position(
+    registry.MAX_ERA, (1 << registry.OFFSET_BITS) - 1
+).pack()
+
+
 class Recovery(actor.Actor):
     """Restores the facts of earlier eras if this node is the planner.
 
@@ -63,7 +69,7 @@
         self._is_planner = is_planner
         self._registrar = registrar
         self._count = count
-        self._started_at = self._learnt_at = clock.read_boot_clock()
+        self._learnt_at = clock.read_boot_clock()
         # The newest copy whose facts were checked, and when it was current.
         self._settled = registry.TopicCopy(0, {})
         self._as_of = float('-inf')
@@ -161,13 +167,12 @@
             await self._append(registrycodec.decode_era(item), copy.end)
             return
         floor, facts = await self._gather_floors(era)
-        if registry.find_era(floor.end) >= era:
+        if registry.find_era(floor.end) >= era or facts is None:
             return
         settlement = deciding.choose_settlement(
             deciding.Outlook(
                 floor,
                 self._learnt_at,
-                self._started_at,
                 rangeleases.FORMER_OWNER_WAIT_S,
             ),
             clock.read_boot_clock(),
@@ -211,29 +216,36 @@
         return offset + 1
 
     async def _gather_floors(self, era):
-        """Return the floor of all reachable members, and its facts."""
-        question = registry.AskFloor(era, self._settled.end)
-        members = self._states.current.members
+        """Return the floor of all reachable members, and its facts.
+
+        Only the member with the newest facts is asked for them, as they are
+        large. Without its answer, the facts are None.
+        """
+        question = registry.AskFloor(era, ALL_KNOWN)
+        members = [
+            member
+            for member_id, member in self._states.current.members.items()
+            if member_id != self._incarnation
+            and member_id not in self._presence.silent
+        ]
         asked_at = clock.read_boot_clock()
         replies = await asyncio.gather(
-            *(
-                self._ask(member, question)
-                for member_id, member in members.items()
-                if member_id != self._incarnation
-                and member_id not in self._presence.silent
-            )
+            *(self._ask(member, question) for member in members)
         )
-        floors = [deciding.Floor(self._settled.end, self._find_as_of())]
-        newest = registry.FloorAnswer(
-            self._settled.end, 0.0, list_facts(self._settled)
-        )
-        for reply in replies:
-            if reply is not None:
-                floors.append(
-                    deciding.Floor(reply.end, asked_at - reply.age_s)
-                )
-                newest = max(newest, reply, key=lambda answer: answer.end)
-        return deciding.join_floors(floors), newest.items
+        own_end = self._settled.end
+        floors = [deciding.Floor(own_end, self._find_as_of())]
+        newest, owner = own_end, None
+        for member, reply in zip(members, replies, strict=True):
+            if reply is None:
+                continue
+            floors.append(deciding.Floor(reply.end, asked_at - reply.age_s))
+            if reply.end > newest:
+                newest, owner = reply.end, member
+        facts = list_facts(self._settled)
+        if owner is not None:
+            reply = await self._ask(owner, registry.AskFloor(era, own_end))
+            facts = reply and reply.items
+        return deciding.join_floors(floors), facts
 
     async def _ask(self, member, question) -> registry.FloorAnswer | None:
         try:
