--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -200,6 +200,8 @@
             return linking.NewsQuestion(number, topic, end, int(wait_s * 1e3))
         case choosing.AskExpectedWait(service=service, route=route):
             return linking.WaitQuestion(number, service, route)
+        case registry.AskFloor(era=era, end=end):
+            return linking.FloorQuestion(number, era, end)
 
 
 def decode_question_reply(frame):
--- a/sesamejunction/model/linking.py
+++ b/sesamejunction/model/linking.py
@@ -261,6 +261,22 @@
     number: int
 
 
+class FloorQuestion(Frame, tag=26):
+    """Requests the newest facts of earlier eras, as registry.AskFloor.
+
+    It is sent on the connection for large bodies only, as NewsQuestion.
+    """
+
+    era: int
+    end: int
+
+
+class FloorReply(Frame, tag=27):
+    """Answers FloorQuestion."""
+
+    body: registry.FloorAnswer | None
+
+
 FRAMES = (
     Hello
     | Work
@@ -287,6 +303,8 @@
     | AskAnswerPart
     | AnswerPart
     | DropAnswer
+    | FloorQuestion
+    | FloorReply
 )
 REPLIES = (
     WorkAnswer,
@@ -296,6 +314,7 @@
     LoadReply,
     NewsReply,
     WaitReply,
+    FloorReply,
     Pong,
     AnswerHead,
     AnswerPart,
--- a/sesamejunction/ui/hostedqueries.py
+++ b/sesamejunction/ui/hostedqueries.py
@@ -16,12 +16,16 @@
 class QueryHandler:
     """Passes each query to the task that can answer it.
 
-    ``followers`` read the topics that other nodes may copy from this one,
-    ``service`` is the one of the target beside this node.
+    ``followers`` read the topics that other nodes may copy from this one.
+    ``recovery`` knows the facts of earlier eras of the store. ``service`` is
+    the one of the target beside this node.
     """
 
-    def __init__(self, lease, terms, scheduler, followers, service=''):
+    def __init__(
+        self, lease, terms, scheduler, followers, recovery, service=''
+    ):
         self._service = service
+        self._recovery = recovery
         self._lease = lease
         self._terms = terms
         self._scheduler = scheduler
@@ -56,6 +60,11 @@
                     return linking.LoadReply(frame.id, report)
                 case linking.CopyQuestion(topic=topic):
                     return await self._copy_topic(frame.id, topic)
+                case linking.FloorQuestion(era=era, end=end):
+                    answer = await self._recovery.ask(
+                        registry.AskFloor(era, end)
+                    )
+                    return linking.FloorReply(frame.id, answer)
                 case linking.NewsQuestion():
                     return await self._answer_news(frame)
                 case linking.WaitQuestion():
--- a/test/test_waitquestions.py
+++ b/test/test_waitquestions.py
@@ -27,7 +27,9 @@
 
 
 def make_server():
-    handler = hostedqueries.QueryHandler(None, None, Scheduler(), (), 'orders')
+    handler = hostedqueries.QueryHandler(
+        None, None, Scheduler(), (), None, 'orders'
+    )
     return linkserver.LinkServer(
         linkserver.ServerPorts(
             requestfakes.MEMBERS[2].incarnation, b'', None, handler.answer
