--- a/sesamejunction/tasks/audit.py
+++ b/sesamejunction/tasks/audit.py
@@ -39,7 +39,12 @@
         # dropped that line.
         inputs = dict(getattr(outcome, 'inputs', ()))
         if outcome.load is not None:
-            inputs['target_load'] = dataclasses.asdict(outcome.load)
+            # Most targets do not report their speed.
+            inputs['target_load'] = {
+                name: value
+                for name, value in dataclasses.asdict(outcome.load).items()
+                if value is not None
+            }
         self._logger.log_message(
             'caller: request failed',
             request=head.request_id,
