Expect a slow spell to end

Scaling the whole expected wait by a present slowness of 3 refused requests that fit, since a spell takes about 0.4 s. The factor now holds for 0.2 s, and the average of the last seconds after that.

--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -30,6 +30,10 @@
 # A reported slowness is forgotten after this time without news. Machines are
 # slow for about 0.4 s, and a target with work answers many times in it.
 SLOWNESS_MAX_AGE_S = 0.5
+# Expected rest of a slow spell, which takes about 0.4 s in all. Work that
+# takes longer continues at the speed of the last seconds; otherwise a queue
+# would look as if it stayed slow, and requests that fit would be refused.
+SPELL_REST_S = 0.2
 # Half-life of the average slowness that counts for the capacity. Moving keys
 # interrupts their service and costs about as much time as one slow spell, so
 # the average has to be longer than many spells.
@@ -129,18 +133,30 @@
 
     def expect(self, route: str) -> float:
         """Return the service time of a request of a route expected now."""
-        expected_s = self._times.get(route, self._mean)
-        # Most targets report no speed, and this is asked for each request.
-        if self._slowness.is_known:
-            expected_s *= self._slowness.find(self._clock())
-        return expected_s
+        return self._scale(self._times.get(route, self._mean))
 
     @property
     def mean(self) -> float:
         """Return the average over all routes, as expected now."""
+        return self._scale(self._mean)
+
+    def _scale(self, usual_s: float) -> float:
+        """Return how long work takes that begins now.
+
+        ``usual_s`` is how long it takes at the usual speed.
+        """
+        # Most targets report no speed, and this is asked for each request.
         if not self._slowness.is_known:
-            return self._mean
-        return self._mean * self._slowness.find(self._clock())
+            return usual_s
+        now = self._clock()
+        present = self._slowness.find(now)
+        lasting = self._slowness.find_average(now)
+        if present <= lasting:
+            return usual_s * present
+        return min(
+            usual_s * present,
+            usual_s * lasting + SPELL_REST_S * (1.0 - lasting / present),
+        )
 
     @property
     def lasting_mean(self) -> float:
@@ -162,22 +178,23 @@
         """Return whether the target has ever reported its slowness."""
         return self._slowness.is_known
 
-    def estimate_work(self, running, queued: int) -> float:
+    def estimate_work(self, running, queued: int, slots: int) -> float:
         """Return the seconds of work that are left at the target.
 
         ``running`` begins with a PendingRequest and its start for each request
-        under way; ``queued`` requests count with the average time.
+        under way; ``queued`` requests count with the average time. ``slots``
+        requests run at once.
         """
         now, slowness = self._clock(), self.slowness
-        work_s = queued * self._mean * slowness
+        usual_s = queued * self._mean
         for pending_request, started, _ in running:
-            run_s = slowness * self._times.get(
-                pending_request.route, self._mean
-            )
-            work_s += max(
-                run_s * MIN_REMAINING_FRACTION, run_s - (now - started)
+            run_s = self._times.get(pending_request.route, self._mean)
+            usual_s += max(
+                run_s * MIN_REMAINING_FRACTION,
+                run_s - (now - started) / slowness,
             )
-        return work_s
+        slots = max(1, slots)
+        return self._scale(usual_s / slots) * slots
 
 
 class WaitFactor:
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -89,7 +89,9 @@
         queued = len(self._queue) + self._expected_bodies
         work_s = None
         if self._times.reports_speed:
-            work_s = self._times.estimate_work(self._running.values(), queued)
+            work_s = self._times.estimate_work(
+                self._running.values(), queued, self.limit
+            )
         return requests.Load(
             len(self._running),
             queued,
