--- a/sesamejunction/tasks/audit.py
+++ b/sesamejunction/tasks/audit.py
@@ -39,7 +39,7 @@
         # dropped that line.
         inputs = dict(getattr(outcome, 'inputs', ()))
         if outcome.load is not None:
-            # Expected work is missing without a target that reports speed.
+            # Most targets do not report their speed.
             inputs['target_load'] = {
                 name: value
                 for name, value in dataclasses.asdict(outcome.load).items()
