Keep held answers when this node itself was paused

After a pause of its own the node had heard of nobody for a while, and would have dropped answers whose requesters were there. A check that is late by 0.3 s is left out; by the next one their frames are read.

--- a/sesamejunction/tasks/line.py
+++ b/sesamejunction/tasks/line.py
@@ -15,6 +15,8 @@
 # Interval of checks while answers are counted.
 CHECK_INTERVAL_S = 0.1
 IDLE_S = 1.0
+# A check that is later than this is left out.
+LATE_CHECK_S = 0.3
 BYTES_PER_MBIT = 125_000
 # A held answer is dropped after this time without a request for a part if its
 # requester is silent as well.
@@ -135,8 +137,10 @@
         self._grant()
         now = self._clock()
         if now >= self._check_at:
+            # If this node was paused, frames of its peers are still unread.
+            if now < self._check_at + LATE_CHECK_S:
+                self._drop_unasked(now)
             self._check_at = now + CHECK_INTERVAL_S
-            self._drop_unasked(now)
         interval_s = CHECK_INTERVAL_S if self._budget else IDLE_S
         # The actor sets its timer anew after each tick.
         delay_s = self._budget.find_next_grant(now)
--- a/test/test_largeanswers.py
+++ b/test/test_largeanswers.py
@@ -220,6 +220,30 @@
     assert await task.handle(part) == b''
 
 
+# Guards against an answer dropped since this node was paused itself, or since
+# its requester is busy with others. Rows: seconds between checks, when the
+# requester was last heard of, and whether the answer is held after 2 s.
+@pytest.mark.parametrize(
+    ('step_s', 'heard_at', 'is_held'),
+    [
+        pytest.param(0.1, 0.0, False, id='silent'),
+        pytest.param(0.1, 1.5, True, id='heard of'),
+        pytest.param(2.0, 0.0, True, id='paused'),
+    ],
+)
+async def test_silent_requester_frees_the_answer(step_s, heard_at, is_held):
+    now = [0.0]
+    task = line.Line(10.0, hostedmetrics.HostedMetrics(), clock=lambda: now[0])
+    task.find_heard_at = lambda _: heard_at
+    held = outgoinganswers.ExpectedAnswer(1, 100, 1, 9.0)
+    await task.handle(outgoinganswers.HoldAnswer(held, 11, bytes(100)))
+    await task.tick()
+    while now[0] < 2.0:
+        now[0] += step_s
+        await task.tick()
+    assert bool(task.held_bytes) is is_held
+
+
 async def test_small_answers_pass_beside_large_ones():
     # Guards against small answers that are late because large ones at 110% of
     # the line's speed leave over the same line.
