Slow readers of large answers keep no others off the line

Ten answers of 540 KB whose receivers did not read counted as 5 s of the line, so that every other large answer was refused until they were cut. An existing answer for which no part was asked within 0.25 s now counts only for the memory.

test_linebudget, test_largeanswers, test_pacedreplies, test_hosting: 85 passed.

--- a/sesamejunction/decisions/linebudget.py
+++ b/sesamejunction/decisions/linebudget.py
@@ -18,6 +18,10 @@
 LINE_FRACTION = 0.85
 # A refused sender should not retry before a part has left.
 MIN_RETRY_DELAY_S = 0.05
+# An existing answer whose next part was not asked for within this time does
+# not count as being before others: its receiver reads slowly. A receiver at
+# 5 Mbit/s takes 0.1 s for the two parts that it has asked for.
+STALLED_S = 0.25
 # Bound on the answers that are held or promised. A node has 200 MB of memory,
 # of which 45 are in use at rest.
 HELD_BYTES = 48 << 20
@@ -54,10 +58,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Promise:
-    """A counted answer; ``left`` bytes of it have not been granted yet."""
+    """A counted answer; ``left`` bytes of it have not been granted yet.
+
+    ``moved_at`` is when it began to leave or its latest part was granted,
+    None for an answer that does not exist yet.
+    """
 
     answer: outgoinganswers.ExpectedAnswer
     left: int
+    moved_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
@@ -124,7 +133,8 @@
 
     def find_wait(self, now: float) -> float:
         """Return the seconds until all counted answers have left."""
-        return max(0.0, self._free_at - now) + self.left / self.speed
+        left = sum(promise.left for promise in self._list_moving(now))
+        return max(0.0, self._free_at - now) + left / self.speed
 
     def find_refusal(
         self, answer: outgoinganswers.ExpectedAnswer, now: float
@@ -149,10 +159,14 @@
                 )
         return None
 
-    def promise(self, answer: outgoinganswers.ExpectedAnswer) -> None:
-        """Count an answer."""
+    def promise(
+        self,
+        answer: outgoinganswers.ExpectedAnswer,
+        made_at: float | None = None,
+    ) -> None:
+        """Count an answer, which exists since ``made_at``, if set."""
         self.release(answer.number)
-        self._promises[answer.number] = Promise(answer, answer.size)
+        self._promises[answer.number] = Promise(answer, answer.size, made_at)
         self.held += answer.size
 
     def find(self, number: int) -> outgoinganswers.ExpectedAnswer:
@@ -189,6 +203,7 @@
             promise = self._promises.get(part.number)
             if promise is not None:
                 promise.left = max(0, promise.left - part.size)
+                promise.moved_at = now
             granted.append(part)
         return granted
 
@@ -209,6 +224,17 @@
             if now >= promise.answer.latest + limit_s
         ]
 
+    def _list_moving(self, now) -> list[Promise]:
+        """Return the counted answers without those that are stalled."""
+        queued = {part.number for part in self._parts}
+        return [
+            promise
+            for number, promise in self._promises.items()
+            if promise.moved_at is None
+            or now < promise.moved_at + STALLED_S
+            or number in queued
+        ]
+
     def _find_delay(self, now) -> float:
         """Return the seconds until the line has room for the next part."""
         # The last of the parts ahead must have begun to leave.
@@ -222,7 +248,7 @@
         """
         waiting = [
             (promise.answer, promise.left)
-            for promise in self._promises.values()
+            for promise in self._list_moving(now)
         ]
         waiting += [(answer, answer.size) for answer in added]
         waiting.sort(key=lambda one: _find_queue_key(one[0]))
--- a/sesamejunction/tasks/line.py
+++ b/sesamejunction/tasks/line.py
@@ -164,8 +164,9 @@
         return None
 
     def _add(self, answer) -> None:
-        self._budget.promise(answer)
-        self._started[answer.number] = self._clock()
+        now = self._clock()
+        self._budget.promise(answer, now)
+        self._started[answer.number] = now
         self.tick_within(CHECK_INTERVAL_S)
 
     def _remove(self, number) -> None:
--- a/test/test_linebudget.py
+++ b/test/test_linebudget.py
@@ -135,6 +135,24 @@
         assert refusal.retry_after_s >= linebudget.MIN_RETRY_DELAY_S
 
 
+# Guards against receivers that read slowly and thereby keep all others out.
+# Rows: seconds since their answers exist, whether they ask for a part, and
+# whether an answer behind them is refused.
+@pytest.mark.parametrize(
+    ('since_s', 'asks', 'is_refused'),
+    [(0.1, False, True), (0.4, False, False), (0.4, True, True)],
+)
+def test_stalled_answers_keep_no_other_out(since_s, asks, is_refused):
+    budget = linebudget.LineBudget(10 * MBIT)
+    for number in range(1, 11):
+        budget.promise(expect(number, 540 * KB, 1, 0.5), 0.0)
+        if asks:
+            budget.queue_part(linebudget.Part(1, 0.5, number, PART, number))
+    refusal = budget.find_refusal(expect(99, latest=1.5), since_s)
+    assert (refusal is not None) is is_refused
+    assert (budget.find_wait(since_s) > 1.0) is is_refused
+
+
 def release_all(budget):
     budget.release(1)
 
