Count answers from other nodes as soon as their size is known

At the entry node an answer that was not expected counted only when it had arrived, so that many of them could pass the bound on memory.

--- a/sesamejunction/commands/largeanswers.py
+++ b/sesamejunction/commands/largeanswers.py
@@ -166,14 +166,22 @@
 
 
 @contextlib.contextmanager
-def count(ports: Ports | None, head: requests.Head, size: int):
+def count(ports: Ports, head: requests.Head, size: int):
     """Count an answer that exists until the context ends; yield it."""
-    if ports is None:
-        yield None
-        return
     counted = describe(ports, head, size)
     ports.line.tell_reliably(outgoinganswers.AddAnswer(counted))
     try:
         yield counted
     finally:
         release(ports, counted)
+
+
+def count_unexpected(ports: Ports | None, head: requests.Head, size: int):
+    """Return a context that counts an answer beyond its expected size.
+
+    What the entry node expected was promised when the request began.
+    """
+    beyond = 0 if ports is None else size - ports.sizes.expect(head.route)
+    if beyond <= 0:
+        return contextlib.nullcontext()
+    return count(ports, head, beyond)
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -10,6 +10,7 @@
 from sesamejunction.border import framing
 from sesamejunction.border import linkcodec
 from sesamejunction.border import logs
+from sesamejunction.commands import largeanswers
 from sesamejunction.commands import wholebodies
 from sesamejunction import errors
 from sesamejunction.model import linking
@@ -108,7 +109,8 @@
     Requests and questions to this node itself need no connection:
     ``host_request`` runs requests at the target beside this node, and
     ``answer_locally`` answers questions. Both are set after construction, and
-    so is ``secret``, which authenticates connections.
+    so are ``secret``, which authenticates connections, and ``answers``, the
+    largeanswers.Ports that count the answers on their way to this node.
     """
 
     def __init__(self, incarnation: int, host: str, metrics, usage):
@@ -122,6 +124,7 @@
         self._logger = logs.ThrottledLogger()
         self._connecting = {}
         self.secret = b''
+        self.answers = None
         self._part_turns = incominganswer.PartTurns()
         self.host_request = None
         self.answer_locally = None
@@ -193,11 +196,11 @@
         else:
             frame = await self._send_large(member, exchange, body)
         if isinstance(frame, linking.AnswerHead):
-            return await self._fetch_answer(member, frame, now)
+            return await self._fetch_answer(member, head, frame, now)
         self._metrics.observe('hop_seconds', clock.read_boot_clock() - now)
         return linkcodec.decode_reply(frame)
 
-    async def _fetch_answer(self, member, frame, started):
+    async def _fetch_answer(self, member, head, frame, started):
         """Fetch the body of a large answer.
 
         An answer that the target has made is fetched also after the deadline.
@@ -208,7 +211,8 @@
             self._part_turns,
             lambda: self._connect(member, True, CONNECT_WAIT_S),
         )
-        body = await fetcher.fetch()
+        with largeanswers.count_unexpected(self.answers, head, frame.size):
+            body = await fetcher.fetch()
         taken_s = clock.read_boot_clock() - started
         self._metrics.observe('hop_seconds', taken_s)
         return linkcodec.decode_answer_head(frame, body)
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -250,6 +250,7 @@
         if node_settings.line_mbps:
             self._line = line.Line(node_settings.line_mbps, self._metrics)
             self._answers = largeanswers.Ports(self._line)
+        self._links.answers = self._answers
 
     def _build_state(self) -> None:
         node_settings = self._settings
--- a/test/test_largeanswers.py
+++ b/test/test_largeanswers.py
@@ -124,6 +124,25 @@
         assert not pair.line.open_answers
 
 
+# Guards against answers that fill the memory of the requester uncounted. Rows:
+# size of earlier answers of the route, and the bytes counted for this one.
+@pytest.mark.parametrize(
+    ('known', 'counted'), [(0, LARGEST), (500_000, 40_000), (LARGEST, 0)]
+)
+async def test_requester_counts_unexpected_bytes(known, counted):
+    async with NodePair(10.0, bytes(LARGEST)) as pair:
+        own = line.Line(10.0, hostedmetrics.HostedMetrics())
+        running = asyncio.ensure_future(own.run())
+        pair.links.answers = largeanswers.Ports(own)
+        pair.links.answers.sizes.record('', known)
+        sending = await pair.start()
+        await pair.wait_until(lambda: pair.line.left_bytes < LARGEST / 2)
+        assert own.held_bytes == counted
+        await sending
+        await pair.wait_until(lambda: not own.held_bytes)
+        running.cancel()
+
+
 async def leave(pair, sending):
     sending.cancel()
 
