Estimate waits of lanes without arrivals for long

The share of a lane that met no queue during about 140,000 arrivals of others became so small that its reciprocal was infinite. The admission check of a large body in that lane then ended the scheduler with an OverflowError, and the node with it. The share is now compared before it divides.

--- a/sesamejunction/decisions/workorder.py
+++ b/sesamejunction/decisions/workorder.py
@@ -252,10 +252,10 @@
             work_s += lane.work_s * before / len(lane)
         ahead += before
         kept = self._shares.find_kept(pending_request.lane)
-        if kept:
+        # The share of a lane without arrivals is too small to divide by it.
+        if before + 1 < ahead * kept:
             by_share = int((before + 1) / kept)
-            if by_share < ahead:
-                return scheduling.Ahead(by_share, work_s * by_share / ahead)
+            return scheduling.Ahead(by_share, work_s * by_share / ahead)
         return scheduling.Ahead(ahead, work_s)
 
     def _make_ticket(self, pending_request, number) -> Ticket:
--- a/test/test_workorder.py
+++ b/test/test_workorder.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from sesamejunction.decisions import scheduling
 from sesamejunction.decisions import workorder
 from sesamejunction.model import gating
 from sesamejunction.model import leasing
@@ -255,3 +256,19 @@
     assert max(delays) <= left_s / 3
     assert max(delays) - min(delays) >= 0.5 * max(delays)
     assert len({round(delay, 3) for delay in delays}) >= 50
+
+
+# Guards against a scheduler that ends, with its node, on the check of a
+# request whose lane has not met a queue for long: its share of the arrivals
+# had become too small for a division.
+def test_lane_without_arrivals_for_long():
+    queue = workorder.WorkQueue(scheduling.ServiceTimes())
+    rare, usual = (
+        scheduling.PendingRequest(f'r{rank}', '', 'read', rank, 10.0)
+        for rank in (2, 0)
+    )
+    queue.add_arrival(rare)
+    for _ in range(150_000):
+        queue.add_arrival(usual)
+    queue.push(usual, 0.0)
+    assert queue.measure_ahead(rare, 0.0).count == 1
