Refuse for lack of room at a callee only without organisations

docs/operators/work-order.md limits the order of work to configurations without organisations, except that calls go first. The refusal of requests whose calls find no room applied to both.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -239,10 +239,13 @@
     """Return a refusal if the calls of a run would find no room.
 
     A call of a running request is not refused, since work has been done for
-    it. ``is_counted`` is set for the last decision before the start.
+    it. With organisations, fairness between them decides instead.
+    ``is_counted`` is set for the last decision before the start.
     """
     if head.standing is requests.Standing.BEGUN:
         return None
+    if ports.states.current.organisations:
+        return None
     callees, now = ports.open_runs.callees, ports.clock()
     if not callees.is_short:
         return None
--- a/test/test_calleehealth.py
+++ b/test/test_calleehealth.py
@@ -1,5 +1,6 @@
 """Requests whose calls would find no room are refused before they start."""
 
+import dataclasses
 import time
 
 import pytest
@@ -11,9 +12,11 @@
 from sesamejunction.commands import wholebodies
 from sesamejunction.decisions import calleehealth
 from sesamejunction.model import requests
+from sesamejunction.model import state
 from test import test_hosting
 
 RATE = 20.0
+ORGANISATION = state.Organisation('one', 0.0, 0.0, 1.0)
 
 
 def learn(calls_by_run=1.0, runs=20):
@@ -63,18 +66,29 @@
     assert least <= started / 40 <= most
 
 
-# Guards against a refusal that reaches a request for which work was done, and
-# against an admission check that decides differently. Columns: standing,
-# whether it is refused.
+# Guards against a refusal that reaches a request for which work was done or
+# between organisations, whose order has no such refusal, and against an
+# admission check that decides differently. Columns: standing, declared
+# organisations, whether it is refused.
 @pytest.mark.parametrize(
-    ('standing', 'is_refused'),
-    [(requests.Standing.NEW, True), (requests.Standing.BEGUN, False)],
+    ('standing', 'organisations', 'is_refused'),
+    [
+        (requests.Standing.NEW, {}, True),
+        (requests.Standing.BEGUN, {}, False),
+        (requests.Standing.NEW, {'one': ORGANISATION}, False),
+    ],
 )
-async def test_request_without_room_for_its_calls(standing, is_refused):
+async def test_request_without_room_for_its_calls(
+    standing, organisations, is_refused
+):
     target = test_hosting.FakeTarget(wholebodies.build_answer(200, (), b''))
     scheduler = test_hosting.FakeScheduler(test_hosting.ADMITTED, 0.0)
+    states = porting.StateView()
+    states.current = dataclasses.replace(
+        states.current, organisations=organisations
+    )
     ports = hosting.Ports(
-        *(porting.StateView(), scheduler, scheduler, None, target),
+        *(states, scheduler, scheduler, None, target),
         *(logs.ThrottledLogger(), hostedmetrics.HostedMetrics()),
         time.monotonic,
     )
