Share one factor on waits between organisations

The factor by lane belongs to the order of work without organisations. With organisations a rank whose waits were in vain no longer raised the factor of the others, which differed from the earlier admission.

--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -73,7 +73,6 @@
         self._running = {}
         self._times = scheduling.ServiceTimes(clock)
         self._queue = workorder.WorkQueue(self._times)
-        # By lane: later requests of a higher rank delay the lower ones only.
         self._wait_factors = collections.defaultdict(scheduling.WaitFactor)
         self._cold_window = scheduling.ColdWindow()
         self._limit = concurrencylimit.ConcurrencyLimit()
@@ -280,7 +279,7 @@
     def _find_overload(self, pending_request, now) -> requests.Refusal | None:
         """Return a refusal if the expected wait exceeds the deadline."""
         ahead = self._queue.measure_ahead(pending_request, now)
-        factor = self._wait_factors[pending_request.lane].value
+        factor = self._find_factor(pending_request).value
         wait_s = scheduling.estimate_wait(
             ahead, self.limit, self._times.mean, factor
         )
@@ -305,6 +304,15 @@
             *(wait_s, now, inputs),
         )
 
+    def _find_factor(self, pending_request) -> scheduling.WaitFactor:
+        """Return the factor on the expected waits of a request's lane.
+
+        Later requests of a higher rank delay the lower ones only. Between
+        organisations all requests share one factor.
+        """
+        is_shared = bool(self._state.organisations)
+        return self._wait_factors[None if is_shared else pending_request.lane]
+
     def _refuse_wait(self, pending_request, message, wait_s, now, inputs):
         refusal = gaterefusals.refuse_wait(
             pending_request, message, wait_s, now, inputs
@@ -362,7 +370,7 @@
         self._queue.remove(pending_request.request_id)
         if pending_request.reply.done():
             return
-        self._wait_factors[pending_request.lane].count_expiry()
+        self._find_factor(pending_request).count_expiry()
         inputs = {
             'ahead': overdue.ahead,
             'running': len(self._running),
@@ -402,7 +410,7 @@
                 continue
             min_time_s = self.estimate_min_time(pending_request.route)
             if now + min_time_s > pending_request.deadline:
-                self._wait_factors[pending_request.lane].count_expiry()
+                self._find_factor(pending_request).count_expiry()
                 pending_request.reply.set_result(
                     refuse(
                         requests.Code.DEADLINE,
@@ -412,7 +420,7 @@
                     )
                 )
                 continue
-            self._wait_factors[pending_request.lane].count_start()
+            self._find_factor(pending_request).count_start()
             pending_request.reply.set_result(self._start(pending_request, now))
         self._schedule_start(now)
 
@@ -432,7 +440,7 @@
             # If time is left, the caller has gone away, which does not
             # count as an expiry.
             if self._clock() + min_time_s >= waiting.deadline:
-                self._wait_factors[waiting.lane].count_expiry()
+                self._find_factor(waiting).count_expiry()
         started_request = self._running.pop(finished.request_id, None)
         if started_request is not None and (
             finished.latency_s is None or self._limit.is_learnt
@@ -488,7 +496,7 @@
         if pending_request.reply is None or self._state.organisations:
             return
         if self._clock() >= pending_request.deadline:
-            self._wait_factors[pending_request.lane].count_expiry()
+            self._find_factor(pending_request).count_expiry()
 
 
 class StartWaiting:
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -329,6 +329,22 @@
         assert waiting.result().outcome is requests.Outcome.NOT_RUN
 
 
+# Guards against waits of one rank that make another look slow, and against a
+# changed estimate between organisations. Columns: declared organisations,
+# factor on the wait of rank 1 after a request of rank 2 waited in vain.
+@pytest.mark.parametrize(
+    ('organisations', 'factor'), [((), 1.25), (('one',), 1.35)]
+)
+async def test_factor_on_waits_by_rank(organisations, factor):
+    made, clock = await make_scheduler(1, organisations)
+    await admit(made, make_head(0))
+    await admit(made, make_head(1, rank=2, left_s=0.2))
+    clock.now += 0.2
+    await made.tick()
+    refused = await admit(made, make_head(2, left_s=0.21))
+    assert dict(refused.inputs)['factor'] == factor
+
+
 async def test_organisations_take_turns_within_a_rank():
     """One organisation sends several times its usual load."""
     made, _ = await make_scheduler(1, ('loud', 'quiet'))
