Do not check a late request whose wait is ending

The check and the deadline may be due in the same pass of the event loop. The check then moved a timeout that had expired, and the loop logged a RuntimeError.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -497,6 +497,9 @@
         )
 
     def _check(self) -> None:
+        if self._limit.expired():
+            # At the deadline both timers may be due in one pass of the loop.
+            return
         if self._ports.answered_start > self._started:
             self._limit.reschedule(asyncio.get_running_loop().time())
         else:
--- a/test/test_hosting.py
+++ b/test/test_hosting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import types
 
 import pytest
 
@@ -214,3 +215,20 @@
     await asyncio.sleep(0)
     assert task.held_bytes == 0
     running.cancel()
+
+
+# Guards against an error of the event loop if the check of a late request runs
+# when its deadline has just passed and the wait is ending already.
+async def test_late_request_is_checked_at_its_deadline():
+    raised = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: raised.append(context))
+    ports = types.SimpleNamespace(answered_start=2.0)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.01) as limit:
+            with hosting.DropWatch(ports, limit, 1.0) as watch:
+                watch.schedule(0.01)
+                # Both timers are due when the loop looks at them.
+                time.sleep(0.03)
+                await asyncio.sleep(1.0)
+    assert not raised
