--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -88,7 +88,8 @@
         rank=frame.rank,
         objective=now + frame.objective_ms / 1000,
         caller_service=frame.caller_service,
-        repeat_share=frame.repeat_share,
+        # A share that is not a number counts as 0.
+        repeat_share=min(1.0, max(0.0, frame.repeat_share)),
         standing=(
             requests.Standing.BEGUN
             if frame.standing
--- a/test/test_linkcodec.py
+++ b/test/test_linkcodec.py
@@ -1,5 +1,7 @@
 """Tests that frames between nodes carry complete replies."""
 
+import math
+
 import msgspec
 import pytest
 
@@ -69,3 +71,18 @@
     assert refusal.code is expected
     assert refusal.outcome is requests.Outcome.NOT_RUN
     assert refusal.message == 'why'
+
+
+# Guards against shares of repeats that no number of later requests corrects.
+# Columns: share on the wire, share that is used.
+@pytest.mark.parametrize(
+    ('sent', 'expected'),
+    [(0.25, 0.25), (math.nan, 0.0), (math.inf, 1.0), (-3.0, 0.0)],
+)
+def test_repeat_share_is_a_probability(sent, expected):
+    head = requests.Head(
+        *('r1', 'orders', 'GET', '/', None, None, '', 12.0, True),
+        repeat_share=sent,
+    )
+    frame = linkcodec.encode_work(7, head, b'', 10.0)
+    assert linkcodec.decode_work(frame, 10.0).repeat_share == expected
