Keep one timer for the next start of waiting requests

Each request that was queued while a cold target or requests that were given up held all places added a timer, and each timer started another one when it fired: five timers for five such events in the test. The message of the only timer must not be dropped.

--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -80,6 +80,7 @@
         # were given up, ascending.
         self._abandoned_ends = []
         self._suspect_until = float('-inf')
+        self._start_timer = None
         self._stopping = False
         self._expected_bodies = 0
 
@@ -425,12 +426,21 @@
         self._schedule_start(now)
 
     def _schedule_start(self, now) -> None:
-        """Schedule a start for when a cold target may take a request."""
+        """Schedule the next start if no finished request will cause it.
+
+        That is while a cold target may not take a request, or while all free
+        places are held by requests that were given up.
+        """
+        if not self._queue:
+            return
         delay_s = self._find_start_delay(now)
-        if self._queue and 0.0 < delay_s < float('inf'):
-            asyncio.get_running_loop().call_later(
-                delay_s, self.tell, StartWaiting()
-            )
+        if not 0.0 < delay_s < float('inf'):
+            return
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+        self._start_timer = asyncio.get_running_loop().call_later(
+            delay_s, self.tell_reliably, StartWaiting()
+        )
 
     def _finish_request(self, finished) -> None:
         waiting = self._queue.remove(finished.request_id)
@@ -500,4 +510,4 @@
 
 
 class StartWaiting:
-    """Sent by a timer when a cold target may take another request."""
+    """Sent by a timer when the target may take another request."""
--- a/test/test_scheduler.py
+++ b/test/test_scheduler.py
@@ -360,6 +360,23 @@
     assert sum(one.done() for one in loud) == 1
 
 
+# Guards against one timer for each request that waits for a place of a
+# request that was given up, all of which wake the task again at each start.
+async def test_one_timer_for_the_next_start():
+    made, clock = await make_scheduler(slots=1)
+    told = []
+    made.tell = made.tell_reliably = told.append
+    await admit(made, make_head(0))
+    for number in range(1, 4):
+        await admit(made, make_head(number))
+    given_up = gating.WorkFinished('r0', None, occupied_until=clock.now + 0.02)
+    await made.handle(given_up)
+    for number in range(4, 8):
+        await admit(made, make_head(number))
+    await asyncio.sleep(0.06)
+    assert len(told) == 1
+
+
 @pytest.mark.parametrize('sent', [4, 10, 30])
 async def test_cold_target_gets_its_rate_only(sent):
     """A cold target that gets more than its rate fails again."""
