Keep a connection busy while a large answer leaves

Cause: between two parts of a large answer the exchange is no longer open and nothing is unsent, so the connection counted as idle. Beyond the limit of connections it was cut first, in the middle of the answer. Each part that was taken also counted as progress, so a slow reader was never the worst.

Change: a connection is busy until the last part is written, and only a whole answer is progress.

Measured: the new test fails before the change and passes after it. In test_pacedreplies the row 'before a body that is asked for' fails before and after this change.

--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -163,7 +163,9 @@
             self._unread_timer = None
         unsent, self._unsent_held = self._unsent_held, 0
         self._ports.clients.hold(self.holder, -unsent)
-        self._note_progress()
+        if self._parts_task is None:
+            # A part that was taken is no progress: only a whole answer is.
+            self._note_progress()
         self._advance()
         self.update_reading()
 
@@ -197,7 +199,11 @@
         return number
 
     def _note_progress(self) -> None:
-        is_busy = bool(self._exchanges) or self._is_writing_paused
+        is_busy = (
+            bool(self._exchanges)
+            or self._is_writing_paused
+            or self._parts_task is not None
+        )
         self._ports.clients.note_progress(self.holder, is_busy)
 
     def _advance(self) -> None:
--- a/test/test_pacedreplies.py
+++ b/test/test_pacedreplies.py
@@ -30,6 +30,7 @@
         self.open = set()
         self.granted = []
         self.error = None
+        self.ports = None
 
     def begin(self, size, rank, deadline):
         self.open.add(size)
@@ -57,6 +58,7 @@
         asyncio.get_running_loop().time,
         line=line,
     )
+    line.ports = ports
     server = pipelinedhttp.CallerServer(ports)
     await server.start(plain.HOST, unused_tcp_port, 10)
     yield unused_tcp_port, line
@@ -130,6 +132,28 @@
     writer.transport.abort()
 
 
+async def test_connection_is_busy_between_parts(paced):
+    # Guards against a large answer that is cut as an idle connection, and
+    # against parts that count as progress of a slow reader.
+    port, line = paced
+    line.delay_s = 0.02
+    reader, writer = await asyncio.open_connection(plain.HOST, port)
+    writer.write(plain.request('/large').encode())
+    await reader.readuntil(b'xxx')
+    (connection,) = line.ports.connections
+    since = connection.holder.since
+    for _ in range(5):
+        connection.pause_writing()
+        connection.resume_writing()
+        await asyncio.sleep(0.02)
+        assert line.open
+        assert (connection.holder.is_busy, connection.holder.since) == (
+            True,
+            since,
+        )
+    writer.transport.abort()
+
+
 async def test_line_waits_for_no_caller_that_does_not_read(paced):
     # Guards against parts that wait in memory, and take turns on the line, for
     # a caller that does not read.
