Take the number of a peer from an authenticated hello only

Cause: the sender of a hello was kept before its tag was checked. When such a connection ended, the answers held for the node of that number were dropped if it had no other connection at that moment. Each connection of a stranger also made the line task look through all held answers.

Change: the number is kept after the check, and only a member is reported as lost.

--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -100,7 +100,11 @@
             if repeatable:
                 task.cancel()
         answers, heard_at = self._ports.answers, self._ports.find_heard_at
-        if answers is not None and heard_at(self.sender) == float('-inf'):
+        if (
+            answers is not None
+            and self._is_authenticated
+            and heard_at(self.sender) == float('-inf')
+        ):
             answers.line.tell_reliably(
                 outgoinganswers.RequesterLost(self.sender)
             )
@@ -189,11 +193,11 @@
         self._is_authenticated = framing.verify_hello(
             self._ports.secret, hello
         )
-        self._is_stale = hello.receiver != self._ports.incarnation
-        self.sender = hello.sender
         if not self._is_authenticated:
             self.transport.abort()
             return
+        self._is_stale = hello.receiver != self._ports.incarnation
+        self.sender = hello.sender
         self._stop_counting()
         if self._is_stale:
             self.frame_limit = framing.MAX_STALE_FRAME_BYTES
--- a/test/test_framing.py
+++ b/test/test_framing.py
@@ -4,6 +4,7 @@
 import itertools
 import types
 
+import msgspec
 import pytest
 
 from sesamejunction.border import framing
@@ -46,8 +47,8 @@
     return framing.LENGTH.pack(len(data)) + data
 
 
-def build_server():
-    ports = linkserver.ServerPorts(OWN, SECRET, None, None)
+def build_server(answers=None):
+    ports = linkserver.ServerPorts(OWN, SECRET, None, None, answers=answers)
     server = linkserver.LinkServer(ports)
     server.connection_made(Transport())
     return server
@@ -107,6 +108,22 @@
     assert held <= limit
 
 
+# Guards against a stranger that frees the answers which are held for a node,
+# by claiming its number. Rows: the tag of the hello, and the nodes reported.
+@pytest.mark.parametrize(
+    ('tag', 'lost'),
+    [(HELLO.tag, [PEER]), (bytes(16), [])],
+    ids=['member', 'stranger'],
+)
+async def test_only_members_are_reported_lost(tag, lost):
+    told = []
+    line = types.SimpleNamespace(tell_reliably=told.append)
+    server = build_server(types.SimpleNamespace(line=line))
+    server.data_received(encode(msgspec.structs.replace(HELLO, tag=tag)))
+    server.connection_lost(None)
+    assert [one.requester for one in told] == lost
+
+
 async def test_duplicate_reply_is_ignored():
     """Guards against a duplicate reply assigned to a later exchange."""
     link = build_link()
