Reject a hello with a negative number

Cause: the tag of such a hello cannot be computed; struct.error left data_received, so that any stranger at the peers' port caused a traceback in the log.

Change: a negative number does not verify, and the connection is aborted.

Measured: the new row fails with struct.error before the change; test_framing passes after it.

--- a/sesamejunction/border/framing.py
+++ b/sesamejunction/border/framing.py
@@ -37,6 +37,9 @@
 
 def verify_hello(secret: bytes, hello: linking.Hello) -> bool:
     """Return whether the tag of a hello fits its sender and receiver."""
+    if min(hello.sender, hello.receiver) < 0:
+        # sign_hello cannot encode it.
+        return False
     return hmac.compare_digest(
         hello.tag, sign_hello(secret, hello.sender, hello.receiver)
     )
--- a/test/test_framing.py
+++ b/test/test_framing.py
@@ -70,6 +70,10 @@
     'stranger, large frame': (
         build_server, framing.LENGTH.pack(1 << 20), bytes(4096), 1 << 14,
     ),
+    'stranger, negative number': (
+        build_server, encode(linking.Hello(0, -1, OWN, HELLO.tag)), b'',
+        1 << 14,
+    ),
     'stranger, no hello': (
         build_server, b'', encode(linking.Ping(0)), 1 << 14,
     ),
