Skip plans whose era is no number

A plan or allocators whose field 'era' is no number ended the node: decode_mark raised an error that the folding does not catch. It is now a CodecError, so the record is skipped as other unreadable ones.

test/test_storeeras.py: 4 of the 6 new cases failed before, all pass now.

--- a/sesamejunction/border/registrycodec.py
+++ b/sesamejunction/border/registrycodec.py
@@ -89,8 +89,16 @@
 
 
 def decode_mark(value: bytes) -> int:
-    """Return the era in which a plan or allocators were decided on."""
-    return MARK_DECODER.decode(value).era
+    """Return the era in which a plan or allocators were decided on.
+
+    Raises CodecError if the field is no number.
+    """
+    try:
+        return MARK_DECODER.decode(value).era
+    except msgspec.MsgspecError as error:
+        raise errors.CodecError(
+            f'the era of a record cannot be read ({error}); upgrade this node'
+        ) from error
 
 
 def decode_record(key: str, value: bytes) -> registry.Record:
--- a/test/test_storeeras.py
+++ b/test/test_storeeras.py
@@ -5,6 +5,7 @@
 import json
 
 from aiohttp import web
+import msgspec
 import pytest
 
 from sesamejunction.border import eraview
@@ -177,6 +178,22 @@
         assert registrycodec.decode_record(key, value) == record
 
 
+# Guards against a record of another writer that ends the node.
+@pytest.mark.parametrize('mark', [None, 'x', 1.5, [], -1, 1 << 40])
+async def test_record_with_an_odd_era_is_skipped(mark):
+    fields = {'service': 's', 'ranges': [], 'era': mark}
+    value = msgspec.msgpack.encode(fields)
+    states = fakes.FakeTask()
+    published = []
+    states.publish = published.append
+    made = registrar.Registry(TOPIC, None, (states,))
+    items = {'plan/s': registry.TopicItem(0, value)}
+    await made.handle(
+        registry.TopicChanged(TOPIC, registry.TopicCopy(1, items))
+    )
+    assert published[-1].state.unreadable == {'plan/s'}
+
+
 def make_operator_copy(era, version, *zones):
     items = {f'evacuate/{zone}': b'{}' for zone in zones}
     if version:
