Learn no era from a peer that a store cannot answer

A position or question of a peer with an era above MAX_ERA was learnt, and after that all answers of the store counted as late. Such an era is now counted as unreadable and changes nothing.

test/test_storeeras.py: 2 of the 4 new cases failed before, all pass now.

--- a/sesamejunction/border/eraview.py
+++ b/sesamejunction/border/eraview.py
@@ -20,7 +20,14 @@
         self._logger = logs.ThrottledLogger(1)
 
     def learn(self, era: int, source: str) -> bool:
-        """Record an era; return False if a later one is known."""
+        """Record an era; return False if a later one is known.
+
+        It is also False for one above MAX_ERA, which no store answers: after
+        that, all answers of the store would count as late.
+        """
+        if era > registry.MAX_ERA:
+            self.note_unreadable(f'{source} names the era {era}')
+            return False
         if era <= self.current:
             return era == self.current
         former, self.current = self.current, era
--- a/test/test_storeeras.py
+++ b/test/test_storeeras.py
@@ -81,6 +81,23 @@
     assert counts == ([event] if event else [])
 
 
+@pytest.mark.parametrize(
+    ('era', 'current', 'event'),
+    [
+        (-1, 0, []),
+        (registry.MAX_ERA, registry.MAX_ERA, ['era']),
+        (registry.MAX_ERA + 1, 0, ['unreadable']),
+        ((1 << 64) - 1, 0, ['unreadable']),
+    ],
+)
+def test_eras_that_are_not_possible_are_not_learnt(era, current, event):
+    """Guards against a peer after whose number no answer counts."""
+    counts = []
+    eras = eraview.EraView(counts.append)
+    assert eras.learn(era, 'another node') == bool(current)
+    assert (eras.current, counts) == (current, event)
+
+
 async def drill(standin):
     """Lose all records and fill their offsets again."""
     await standin.drill(60.0, 0.0)
