Remove no members before the era of the store is open

Between the restoration and the opening of an era, members whose records are gone stay in the state. A silent member without keys was therefore removed again with each new copy, about 7 s long, and each removal made the append that opens the era more likely to conflict.

test/test_storeeras.py: the case of a restored era failed before, both pass.

--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -337,8 +337,11 @@
         """Return a record that removes a silent node, None if not needed.
 
         A node is removed after REMOVE_AFTER_S of silence if its target owns
-        no ranges.
+        no ranges. Until the era of the store is open, members stay in the
+        state although their records are gone, so a removal would be repeated.
         """
+        if self._state.era_phase is not state.EraPhase.OPEN:
+            return None
         members = self._state.members
         owners = {
             planned_range.owner.member
--- a/test/test_storeeras.py
+++ b/test/test_storeeras.py
@@ -17,6 +17,8 @@
 from sesamejunction.platform import config
 from sesamejunction.platform import store
 from sesamejunction.tasks import follower
+from sesamejunction.tasks import presence
+from sesamejunction.tasks import rangeplanner
 from sesamejunction.tasks import registrar
 from standins import store as storing
 from test import fakes
@@ -211,6 +213,45 @@
     assert published[-1].state.unreadable == {'plan/s'}
 
 
+# Guards against a removal in each round from the restoration to the opening of
+# an era, since a member whose record is gone stays in the state for that time.
+@pytest.mark.parametrize(('is_open', 'removed'), [(False, 0), (True, 1)])
+async def test_members_are_removed_once_in_an_era(is_open, removed):
+    made = registrar.Registry(TOPIC, None, (published := fakes.FakeTask(),))
+    published.publish = published.tell
+    planner = rangeplanner.RangePlanner(
+        *('a', 1, presence.PresenceView(), published, None)
+    )
+    planner._silent_since = {2: float('-inf')}
+    start = registry.Position(LATER, 0).pack()
+    records = [
+        *(registry.EraRecord(1, is_open), make_member('a', 1)),
+        make_member('b', 2),
+    ]
+    items = {
+        registrycodec.build_record_key(record): registry.TopicItem(
+            start + place, registrycodec.encode_record(record)
+        )
+        for place, record in enumerate(records)
+    }
+    removals = 0
+    for end in range(start + 3, start + 6):
+        copy = registry.TopicCopy(end, dict(items))
+        await made.handle(registry.TopicChanged(TOPIC, copy))
+        await planner.handle(published.messages[-1])
+        record = planner._find_removal(0.0)
+        if record is not None:
+            items.pop(registrycodec.build_record_key(record))
+            removals += 1
+    assert removals == removed
+
+
+def make_member(name, incarnation):
+    return registry.MemberRecord(
+        *(name, incarnation, 'z', '10.0.0.1', 1, 's', 8, None)
+    )
+
+
 def make_operator_copy(era, version, *zones):
     items = {f'evacuate/{zone}': b'{}' for zone in zones}
     if version:
