Look for refused ranges only if there are any

The planner hashed every range of all plans at each tick of 0.1 s, also in a store without eras: 15 ms for 16,000 ranges, measured. It failed the three cases of test_plan_is_small_enough_for_the_log, whose ranges have a list of former owners; they pass again.

--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -292,6 +292,9 @@
 
     def _find_renewal(self, refused):
         """Return a record with new epochs for what is refused here."""
+        if not refused:
+            # Large plans take long to look through, ten times a second.
+            return None
         current, epoch = self._state, self._state.offset + 1
         for service, plan in current.ranges.items():
             renewed = tuple(
