Retry a recovery slowly while the store accepts nothing

Each round of 0.3 s made one append, whatever the store answered: 34 in 10 s. The pause now doubles up to 2.4 s with each append that fails, as that of registrations does, and is 0.3 s again after one that is taken.

test/test_appends.py: 34 appends for at most 8 before in both new cases, which pass now.

--- a/sesamejunction/tasks/recovery.py
+++ b/sesamejunction/tasks/recovery.py
@@ -17,8 +17,10 @@
 TICK_S = 0.1
 # Tick interval while the store is in the era that is known.
 IDLE_S = 10.0
-# Delay between two rounds of questions to the reachable members.
+# Delay between two rounds of questions to the reachable members. It doubles
+# with each append that fails up to the maximum, as the store may be down.
 ROUND_PAUSE_S = 0.3
+MAX_ROUND_PAUSE_S = 2.4
 # Time for the answers of a round. A frozen member does not delay the others.
 ANSWERS_S = 1.0
 # Facts that are decided on from the ones before, and must not be lost. Of the
@@ -78,6 +80,7 @@
         self._era = 0
         self._running = None
         self._next_round_at = float('-inf')
+        self._pause_s = ROUND_PAUSE_S
 
     async def handle(self, message):
         """Handle one message."""
@@ -138,7 +141,7 @@
         if is_open or is_busy or now < self._next_round_at:
             return
         if self._is_planner():
-            self._next_round_at = now + ROUND_PAUSE_S
+            self._next_round_at = now + self._pause_s
             self._running = asyncio.ensure_future(self._settle(now))
 
     async def _settle(self, now) -> None:
@@ -155,6 +158,8 @@
             self._follower.tell(registry.TopicGrown(self._follower.view.end))
         except errors.LogUnavailable as error:
             eliot.log_message('plan: not restored', reason=str(error))
+            self._pause_s = min(MAX_ROUND_PAUSE_S, 2 * self._pause_s)
+            self._next_round_at = clock.read_boot_clock() + self._pause_s
             self._follower.tell(registry.AppendFailed())
 
     async def _restore(self, copy) -> None:
@@ -211,6 +216,7 @@
             registrycodec.encode_record(record, registry.find_era(end)),
         )
         offset = await self._topic.append(entry, end)
+        self._pause_s = ROUND_PAUSE_S
         eliot.log_message('plan: restored', key=entry.key, offset=offset)
         self._follower.tell(registry.TopicGrown(offset))
         return offset + 1
--- a/test/test_appends.py
+++ b/test/test_appends.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesamejunction.border import eraview
 from sesamejunction.border import registrycodec
 from sesamejunction import errors
 from sesamejunction.model import journaling
@@ -12,8 +13,10 @@
 from sesamejunction.model import registry
 from sesamejunction.model import state
 from sesamejunction.tasks import clock
+from sesamejunction.tasks import follower
 from sesamejunction.tasks import presence
 from sesamejunction.tasks import rangeplanner
+from sesamejunction.tasks import recovery
 from sesamejunction.tasks import registrar
 from test import fakes
 from test import storemodel
@@ -139,6 +142,36 @@
     assert found == asked
 
 
+async def recover(topic):
+    """Run the recovery of a later era at the only node for SPAN_S."""
+    view = follower.PositionView()
+    end = registry.Position(registry.FIRST_ERA + 1, 0).pack()
+    view.move_to(end)
+    fleet = fakes.FakeTask()
+    fleet.view, fleet.copy = view, registry.TopicCopy(end, {})
+    fleet.topic_name = 'fleet'
+    states = types.SimpleNamespace(current=state.State())
+    task = recovery.Recovery(
+        *(1, fleet, topic, states, presence.PresenceView(), None),
+        *(eraview.EraView(), lambda: True, fakes.FakeTask()),
+    )
+    task._settled = registry.TopicCopy(1, {})
+    task._as_of = clock.read_boot_clock()
+    async with fakes.run_actors(task):
+        task.tell(registry.TopicChanged('fleet', fleet.copy))
+        await asyncio.sleep(SPAN_S)
+
+
+# Guards against 3 calls a second to a store that accepts nothing.
+@pytest.mark.parametrize(
+    'error', [LOST, errors.RecordRejected('too long; make it smaller')]
+)
+def test_recovery_retries_slowly(error, monkeypatch):
+    topic = Topic(error)
+    run_simulated(lambda: recover(topic), monkeypatch)
+    assert 2 <= topic.appends <= 8
+
+
 REJECTED = errors.RecordRejected('too long; make it smaller')
 
 
