--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -292,6 +292,9 @@
 
     def _find_renewal(self, refused):
         """Return a record with new epochs for what is refused here."""
+        if not refused:
+            # Large plans take long to look through, ten times a second.
+            return None
         current, epoch = self._state, self._state.offset + 1
         for service, plan in current.ranges.items():
             renewed = tuple(
@@ -337,8 +340,11 @@
         """Return a record that removes a silent node, None if not needed.
 
         A node is removed after REMOVE_AFTER_S of silence if its target owns
-        no ranges.
+        no ranges. Until the era of the store is open, members stay in the
+        state although their records are gone, so a removal would be repeated.
         """
+        if self._state.era_phase is not state.EraPhase.OPEN:
+            return None
         members = self._state.members
         owners = {
             planned_range.owner.member
--- a/test/test_storeeras.py
+++ b/test/test_storeeras.py
@@ -5,6 +5,7 @@
 import json
 
 from aiohttp import web
+import msgspec
 import pytest
 
 from sesamejunction.border import eraview
@@ -16,6 +17,8 @@
 from sesamejunction.platform import config
 from sesamejunction.platform import store
 from sesamejunction.tasks import follower
+from sesamejunction.tasks import presence
+from sesamejunction.tasks import rangeplanner
 from sesamejunction.tasks import registrar
 from standins import store as storing
 from test import fakes
@@ -80,6 +83,23 @@
     assert counts == ([event] if event else [])
 
 
+@pytest.mark.parametrize(
+    ('era', 'current', 'event'),
+    [
+        (-1, 0, []),
+        (registry.MAX_ERA, registry.MAX_ERA, ['era']),
+        (registry.MAX_ERA + 1, 0, ['unreadable']),
+        ((1 << 64) - 1, 0, ['unreadable']),
+    ],
+)
+def test_eras_that_are_not_possible_are_not_learnt(era, current, event):
+    """Guards against a peer after whose number no answer counts."""
+    counts = []
+    eras = eraview.EraView(counts.append)
+    assert eras.learn(era, 'another node') == bool(current)
+    assert (eras.current, counts) == (current, event)
+
+
 async def drill(standin):
     """Lose all records and fill their offsets again."""
     await standin.drill(60.0, 0.0)
@@ -177,6 +197,61 @@
         assert registrycodec.decode_record(key, value) == record
 
 
+# Guards against a record of another writer that ends the node.
+@pytest.mark.parametrize('mark', [None, 'x', 1.5, [], -1, 1 << 40])
+async def test_record_with_an_odd_era_is_skipped(mark):
+    fields = {'service': 's', 'ranges': [], 'era': mark}
+    value = msgspec.msgpack.encode(fields)
+    states = fakes.FakeTask()
+    published = []
+    states.publish = published.append
+    made = registrar.Registry(TOPIC, None, (states,))
+    items = {'plan/s': registry.TopicItem(0, value)}
+    await made.handle(
+        registry.TopicChanged(TOPIC, registry.TopicCopy(1, items))
+    )
+    assert published[-1].state.unreadable == {'plan/s'}
+
+
+# Guards against a removal in each round from the restoration to the opening of
+# an era, since a member whose record is gone stays in the state for that time.
+@pytest.mark.parametrize(('is_open', 'removed'), [(False, 0), (True, 1)])
+async def test_members_are_removed_once_in_an_era(is_open, removed):
+    made = registrar.Registry(TOPIC, None, (published := fakes.FakeTask(),))
+    published.publish = published.tell
+    planner = rangeplanner.RangePlanner(
+        *('a', 1, presence.PresenceView(), published, None)
+    )
+    planner._silent_since = {2: float('-inf')}
+    start = registry.Position(LATER, 0).pack()
+    records = [
+        *(registry.EraRecord(1, is_open), make_member('a', 1)),
+        make_member('b', 2),
+    ]
+    items = {
+        registrycodec.build_record_key(record): registry.TopicItem(
+            start + place, registrycodec.encode_record(record)
+        )
+        for place, record in enumerate(records)
+    }
+    removals = 0
+    for end in range(start + 3, start + 6):
+        copy = registry.TopicCopy(end, dict(items))
+        await made.handle(registry.TopicChanged(TOPIC, copy))
+        await planner.handle(published.messages[-1])
+        record = planner._find_removal(0.0)
+        if record is not None:
+            items.pop(registrycodec.build_record_key(record))
+            removals += 1
+    assert removals == removed
+
+
+def make_member(name, incarnation):
+    return registry.MemberRecord(
+        *(name, incarnation, 'z', '10.0.0.1', 1, 's', 8, None)
+    )
+
+
 def make_operator_copy(era, version, *zones):
     items = {f'evacuate/{zone}': b'{}' for zone in zones}
     if version:
