--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -146,7 +146,9 @@
             # The latest proposal was based on this state and is not read
             # yet.
             return
-        record = self._find_restoration() or self._find_renewal(refused)
+        record = self._find_restoration()
+        if record is None and refused:
+            record = self._find_renewal(refused)
         if record is None and is_planner:
             self._request_loads(now)
             record = self._find_record(now)
