Test of earlier frames: name the field that they end before

The test removed one field from the end of Work and WorkOffer and took it for repeat_share. takes_parts now follows it, so the frame still had a share. The rows name the field instead: without repeat_share the share is 0 as before, without takes_parts it is kept, and both senders take no parts. Later fields do not change the rows.

--- a/test/test_retrybudget.py
+++ b/test/test_retrybudget.py
@@ -312,8 +312,12 @@
 
 
 # Guards against a repeat that its target's node takes for a first attempt.
-# The second row is a frame of an earlier version, which has no such field.
-@pytest.mark.parametrize(('lacking', 'share'), [(0, 0.25), (1, 0.0)])
+# The other rows are frames of earlier versions, which end before that field;
+# these senders take no answers in parts.
+@pytest.mark.parametrize(
+    ('ends_before', 'share'),
+    [(None, 0.25), ('takes_parts', 0.25), ('repeat_share', 0.0)],
+)
 @pytest.mark.parametrize(
     ('encode', 'kind'),
     [
@@ -321,14 +325,18 @@
         (linkcodec.encode_offer, linking.WorkOffer),
     ],
 )
-def test_share_is_sent_between_nodes(encode, kind, lacking, share):
+def test_share_is_sent_between_nodes(encode, kind, ends_before, share):
     head = dataclasses.replace(make_head('lossy'), repeat_share=0.25)
     body = b'' if kind is linking.Work else 9
     sent = msgspec.msgpack.decode(
         msgspec.msgpack.encode(encode(1, head, body, 100.0))
     )
-    decoded = msgspec.convert(sent[: len(sent) - lacking], kind)
+    if ends_before is not None:
+        # The tag is the first item.
+        sent = sent[: 1 + kind.__struct_fields__.index(ends_before)]
+    decoded = msgspec.convert(sent, kind)
     assert linkcodec.decode_work(decoded, 100.0).repeat_share == share
+    assert decoded.takes_parts is (ends_before is None)
 
 
 # Guards against retries that are used up by attempts that no target has seen,
