Serve organisations as before: learnt limits, speeds and calls only without them

The learnt limit, the reported speed, the refusal for calls, the sum of work ahead and the time to come back applied there too.

Change: with organisations the scheduler counts slots, expects past times and sends callers back as before. Without them, a sign of a full target counts only if more than half of its places are in use, and a request whose connection is closed holds no place unless the target answers later ones: the others are dropped by most targets.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -319,9 +319,9 @@
                 report.shed,
                 report.slowness,
                 report.is_dropped,
-                0.0
-                if report.has_ended or report.started is None
-                else _find_occupied_until(ports, head, report),
+                # The target stops work at the deadline at the latest; it
+                # drops other requests when their connection closes.
+                head.deadline if report.is_stuck else 0.0,
             )
         )
 
@@ -374,9 +374,8 @@
 
     ``taken_s`` is None without an answer. ``shed`` is set if the target
     itself refused the request. ``slowness`` as in requests.TargetReport,
-    ``is_dropped`` as in gating.WorkFinished. ``started`` is the boot-clock
-    time of sending, None before it, and ``has_ended`` is set once the target
-    has replied, closed the connection or could not be reached.
+    ``is_dropped`` as in gating.WorkFinished. ``is_stuck`` is set if the target
+    may still hold a request that was given up.
     """
 
     taken_s: float | None = None
@@ -384,16 +383,7 @@
     slowness: float | None = None
     is_dropped: bool = False
     expected_s: float = math.inf
-    started: float | None = None
-    has_ended: bool = False
-
-
-def _find_occupied_until(ports, head, report) -> float:
-    """Return until when the target may run a request that was given up."""
-    return concurrencylimit.find_occupied_until(
-        *(report.expected_s, report.started, ports.clock()),
-        *(head.deadline, report.is_dropped),
-    )
+    is_stuck: bool = False
 
 
 async def _send(ports, head, body, report):
@@ -402,7 +392,7 @@
     If no answer arrives after the request may have been sent, the outcome
     in the refusal is UNKNOWN.
     """
-    started = report.started = ports.clock()
+    started = ports.clock()
     give_up = concurrencylimit.find_give_up_time(
         report.expected_s, started, head.deadline, head.repeatable
     )
@@ -411,13 +401,12 @@
             with _watch_for_drop(ports, limit, started, give_up, head):
                 reply = await ports.target.send(head, body)
     except errors.PeerConnectionLost as error:
-        report.has_ended = True
         report.is_dropped = isinstance(error, errors.TargetClosedUnanswered)
         _count_miss(ports)
         return _refuse_as_lost(ports, head, str(error))
     except TimeoutError:
         waited_s = ports.clock() - started
-        report.is_dropped = (
+        report.is_dropped = report.is_stuck = (
             waited_s >= concurrencylimit.find_late_s(report.expected_s)
             and ports.answered_start > started
         )
@@ -427,7 +416,6 @@
             reason = f'no answer within {waited_s:.2f} s, others got theirs'
         return _refuse_as_lost(ports, head, reason)
     except errors.PeerUnavailable as error:
-        report.has_ended = True
         if isinstance(error, errors.TargetConnectionRefused):
             ports.lease.tell(leasing.TargetUnreachable())
         if not isinstance(error, errors.TargetNotConnectedInTime):
@@ -439,7 +427,6 @@
         )
     ports.misses = 0
     ports.answered_start = max(ports.answered_start, started)
-    report.has_ended = True
     if reply.report is not None:
         report.slowness = reply.report.slowness
     if isinstance(reply, requests.Refusal):
--- a/sesamejunction/decisions/concurrencylimit.py
+++ b/sesamejunction/decisions/concurrencylimit.py
@@ -5,8 +5,9 @@
 # The limit never falls below this, so that answers can raise it again.
 MIN_LIMIT = 1.0
 # A sign lowers the limit to one below the requests that were at the target if
-# they were more than this part of it, else by one: a target with few requests
-# probably refuses for another reason.
+# they were more than this part of it. A target with fewer is not full: an
+# answer is lost, or the target ends. Counting such signs cost a sixth of the
+# places of targets with room.
 BUSY_PART = 0.5
 # Signs within this time count once: a target that ends resets all of its
 # connections at the same time.
@@ -55,16 +56,17 @@
         one that gave the sign was sent, with itself. ``refused`` tells a
         refusal from a missing answer.
         """
-        if now - self._sign_at < SIGN_INTERVAL_S:
+        before = min(self.value, float(slots))
+        if (
+            count <= before * BUSY_PART
+            or now - self._sign_at < SIGN_INTERVAL_S
+        ):
             return False
         if now - self._sign_at >= RAISE_RETURN_S:
             self._raise = RAISE
         elif not refused:
             self._raise = max(MIN_RAISE, self._raise / 2)
         self._sign_at = now
-        before = min(self.value, float(slots))
-        if count <= before * BUSY_PART:
-            count = before
         # Above the limit, the request was sent before the limit fell.
         self.value = max(MIN_LIMIT, min(before, count - 1.0))
         return self.value < before
@@ -96,21 +98,3 @@
 def find_late_s(expected_s: float) -> float:
     """Return the seconds after which a request counts as dropped."""
     return max(LATE_FLOOR_S, LATE_FACTOR * expected_s)
-
-
-def find_occupied_until(
-    expected_s: float,
-    started: float,
-    now: float,
-    deadline: float,
-    is_late: bool,
-) -> float:
-    """Return until when an abandoned request occupies the target.
-
-    The target stops at the deadline at the latest. Before that it may miss
-    that the connection was closed, but then it finishes as expected, unless
-    it is late already.
-    """
-    if is_late:
-        return deadline
-    return min(deadline, max(now, started + expected_s))
--- a/sesamejunction/decisions/workorder.py
+++ b/sesamejunction/decisions/workorder.py
@@ -229,6 +229,10 @@
         self._tickets.clear()
         return drained
 
+    def expect(self, route: str) -> float:
+        """Return the time that a request takes from those behind it."""
+        return self._times.expect(route)
+
     def measure_ahead(self, pending_request, now: float) -> scheduling.Ahead:
         """Return what starts before a request, queued or not.
 
--- a/sesamejunction/tasks/gaterefusals.py
+++ b/sesamejunction/tasks/gaterefusals.py
@@ -15,12 +15,21 @@
     wait_s: float,
     now: float,
     inputs: dict[str, float],
+    is_fair: bool = False,
 ) -> requests.Refusal:
     """Return the refusal of a request that would wait ``wait_s`` seconds.
 
-    ``inputs`` are the values of the decision beside those of the request.
+    ``inputs`` are the values of the decision beside those of the request. With
+    ``is_fair``, the queue is one of organisations, whose turns come whether
+    others return together or not.
     """
     left_s = pending_request.deadline - now
+    if is_fair:
+        retry_after_s = max(scheduling.MIN_RETRY_DELAY_S, wait_s / 2)
+    else:
+        retry_after_s = workorder.choose_retry_delay(
+            wait_s, left_s, pending_request.request_id
+        )
     described = {
         'rank': pending_request.rank,
         'standing': pending_request.standing.value,
@@ -30,9 +39,7 @@
     return porting.refuse(
         requests.Code.OVERLOADED,
         message,
-        retry_after_s=workorder.choose_retry_delay(
-            wait_s, left_s, pending_request.request_id
-        ),
+        retry_after_s=retry_after_s,
         inputs=tuple(described.items()),
     )
 
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -245,7 +245,17 @@
     @property
     def limit(self) -> int:
         """Return how many requests may be at the target at once."""
-        return self._limit.find(self._target_status.slots)
+        slots = self._target_status.slots
+        return slots if self._is_fair else self._limit.find(slots)
+
+    @property
+    def _is_fair(self) -> bool:
+        """Return whether fairness between organisations decides.
+
+        Then targets are expected to take as long as they did, whatever they
+        report, and hold as many requests as they have slots.
+        """
+        return bool(self._state.organisations)
 
     @property
     def slowness(self) -> float:
@@ -311,12 +321,13 @@
         Later requests of a higher rank delay the lower ones only. Between
         organisations all requests share one factor.
         """
-        is_shared = bool(self._state.organisations)
-        return self._wait_factors[None if is_shared else pending_request.lane]
+        lane = None if self._is_fair else pending_request.lane
+        return self._wait_factors[lane]
 
     def _refuse_wait(self, pending_request, message, wait_s, now, inputs):
         refusal = gaterefusals.refuse_wait(
-            pending_request, message, wait_s, now, inputs
+            *(pending_request, message, wait_s, now, inputs),
+            *(self._is_fair,),
         )
         self._logger.log_message(
             'gate: request refused',
@@ -345,6 +356,7 @@
             self._times,
             self._find_cold_rate(now),
             now,
+            self._queue.expect,
         )
         for overdue in late:
             self._refuse_overdue(overdue, now)
@@ -378,11 +390,12 @@
             'slots': self.limit,
             'needed_s': round(overdue.needed_s, 3),
         }
+        wait_s = 0.0 if self._is_fair else overdue.needed_s
         pending_request.reply.set_result(
             self._refuse_wait(
                 pending_request,
                 'the wait has become too long; retry later',
-                *(overdue.needed_s, now, inputs),
+                *(wait_s, now, inputs),
             )
         )
 
@@ -393,6 +406,8 @@
         self._running[pending_request.request_id] = pending_request, now, count
         self._cold_window.add(now)
         self._cold_window.count(now)
+        if self._is_fair:
+            return gating.Admitted(self.load)
         return gating.Admitted(
             self.load, self._times.expect(pending_request.route)
         )
@@ -456,7 +471,7 @@
             finished.latency_s is None or self._limit.is_learnt
         ):
             self._learn_limit(finished, started_request[2])
-        slowness = finished.slowness
+        slowness = None if self._is_fair else finished.slowness
         if slowness is not None:
             self._times.report_slowness(slowness)
         if started_request is not None and finished.latency_s is not None:
@@ -481,6 +496,8 @@
         was sent.
         """
         now, slots = self._clock(), self._target_status.slots
+        if self._is_fair:
+            return
         if finished.occupied_until > now:
             bisect.insort(self._abandoned_ends, finished.occupied_until)
         if finished.latency_s is not None:
@@ -503,7 +520,7 @@
 
         Between organisations it would make more refusals late.
         """
-        if pending_request.reply is None or self._state.organisations:
+        if pending_request.reply is None or self._is_fair:
             return
         if self._clock() >= pending_request.deadline:
             self._find_factor(pending_request).count_expiry()
