--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -247,6 +247,11 @@
         """Return how many requests may be at the target at once."""
         return self._limit.find(self._target_status.slots)
 
+    @property
+    def reports_speed(self) -> bool:
+        """Return whether the target has ever reported its slowness."""
+        return self._times.reports_speed
+
     @property
     def slowness(self) -> float:
         """Return how many times slower than usual the target is now."""
--- a/sesamejunction/tasks/waitquestions.py
+++ b/sesamejunction/tasks/waitquestions.py
@@ -31,7 +31,7 @@
         It is None if the target is of another service or has not reported
         its speed.
         """
-        if service != self._service or self._scheduler.load.work_s is None:
+        if service != self._service or not self._scheduler.reports_speed:
             return None
         return self._scheduler.estimate_wait(route)
 
