Number requests from a random start at each node

A scheduler knows requests by their ids. A caller that sent one id to two nodes, whose numbers both began at 1, could bring two requests with the same id to one target: the second was refused, and its end removed the first from the queue.

--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -75,7 +75,8 @@
 
     def __init__(self, context: FrontendContext):
         self._context = context
-        self._request_numbers = itertools.count(1)
+        # Callers may send one id to several nodes, whose numbers must differ.
+        self._request_numbers = itertools.count(random.getrandbits(32))
         self._split = deciding.SplitSequence(random.random)
         self.stopping = False
         self._open = set()
--- a/test/test_oddrequests.py
+++ b/test/test_oddrequests.py
@@ -99,3 +99,10 @@
         assert 0.0 <= delay_s <= scheduling.COLD_WINDOW_S
         now += delay_s
         window.add(now)
+
+
+# Guards against two requests that a scheduler takes for one, because a caller
+# has sent the same id to two nodes: the end of one removed the other.
+def test_nodes_give_one_id_different_numbers():
+    heads = [build_head(state.Routing.LOAD) for _ in range(2)]
+    assert heads[0].request_id != heads[1].request_id
