--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -257,6 +257,11 @@
         """
         return bool(self._state.organisations)
 
+    @property
+    def reports_speed(self) -> bool:
+        """Return whether the target has ever reported its slowness."""
+        return self._times.reports_speed
+
     @property
     def slowness(self) -> float:
         """Return how many times slower than usual the target is now."""
