Drop a large answer whose requester has left

Cause: an answer head that arrived after the end of its exchange (deadline or caller gone) was ignored. The holder kept the body for 10 s, since the requester was alive. Under load such bodies fill the 48 MiB for answers, and new requests are refused for want of memory; a planned stop waits for them.

Change: the requester answers such a head with DropAnswer.

--- a/sesamejunction/tasks/link.py
+++ b/sesamejunction/tasks/link.py
@@ -143,6 +143,9 @@
         pending = self._exchanges.get(frame.id)
         if pending is not None and not pending.future.done():
             pending.future.set_result(frame)
+        elif isinstance(frame, linking.AnswerHead):
+            # Nobody asks for the parts, so the peer would hold them for 10 s.
+            self.send_frame(linking.DropAnswer(0, frame.number))
 
     def connection_lost(self, exc):
         """Fail all open exchanges."""
--- a/test/test_links.py
+++ b/test/test_links.py
@@ -145,6 +145,19 @@
     return clock, link, sent
 
 
+# Guards against large answers that a peer holds for a requester who has left,
+# until new ones are refused for want of memory. Rows: whether the exchange is
+# still open, and the number of the answer that is dropped.
+@pytest.mark.parametrize(('is_open', 'dropped'), [(True, []), (False, [7])])
+def test_unwanted_large_answer_is_dropped(monitored_link, is_open, dropped):
+    _, link, sent = monitored_link
+    number, _ = link.start_exchange()
+    if not is_open:
+        link.end_exchange(number)
+    link.handle_frame(linking.AnswerHead(number, 200, (), None, 7, 90_000))
+    assert sent == [linking.DropAnswer(0, one) for one in dropped]
+
+
 def receive_data(link):
     link.data_received(b'')
 
