Refuse a body over the limit as too large, not as overload

Cause: the announced length counted as wanted memory before the limit of bodies was checked, so that a caller with such a body got 503 with a time to retry, which can never succeed. Bytes of a body that had arrived before its turn were counted twice.

Change: only what is still to come counts, at most the largest body.

--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -257,7 +257,12 @@
 
     async def _handle(self, request) -> CallerReply:
         """Run a request, unless the node holds too much for its caller."""
-        wanted = request.content_length or 0
+        # A body that is too large is refused as such by the handler; what has
+        # arrived of a body is counted already.
+        wanted = min(
+            request.bytes_left if request.content_length else 0,
+            self._ports.find_limits().body_bytes,
+        )
         if self._ports.clients.must_refuse(self.holder, wanted):
             self._ports.clients.record_refusal(self.holder, 'busy')
             return callermessages.BUSY_REPLY
--- a/test/test_clients.py
+++ b/test/test_clients.py
@@ -19,9 +19,12 @@
 LARGE_REQUEST = REQUEST.replace(b'/a', b'/large')
 UPLOAD_HEAD = b'POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9999\r\n\r\n'
 HELD_BYTES = 20 << 20
+BODY_BYTES = 6 << 20
 
 
 async def handle(request):
+    if (request.content_length or 0) > BODY_BYTES:
+        return pipelinedhttp.CallerReply(413)
     if request.body_exists:
         await request.read_body(1 << 20)
     large = request.raw_path.startswith('/large')
@@ -43,7 +46,9 @@
     ports = pipelinedhttp.ServerPorts(
         *(handle, lambda request: True, lambda: False, lambda: 2000),
         *(asyncio.get_running_loop().time,),
-        lambda: routing.Limits(head_s=HEAD_S, idle_s=IDLE_S),
+        lambda: routing.Limits(
+            body_bytes=BODY_BYTES, head_s=HEAD_S, idle_s=IDLE_S
+        ),
         counts,
     )
     server = pipelinedhttp.CallerServer(ports)
@@ -85,6 +90,19 @@
     assert b'Retry-After' not in received
 
 
+# Guards against "busy, retry" for a body that is never accepted. Columns: the
+# announced length, the status.
+@pytest.mark.parametrize(
+    ('length', 'status'), [(9, 200), (BODY_BYTES + 1, 413), (1 << 40, 413)]
+)
+async def test_too_large_body_is_no_overload(server, length, status):
+    reader, writer = await connect(server)
+    writer.write(UPLOAD_HEAD.replace(b'9999', b'%d' % length) + b'x' * 9)
+    async with asyncio.timeout(5.0):
+        assert await reader.readexactly(12) == b'HTTP/1.1 %d' % status
+    writer.transport.abort()
+
+
 async def test_caller_that_reads_nothing_is_cut(server, monkeypatch):
     """Guards against answers that are kept for a caller who never reads."""
     monkeypatch.setattr(clients, 'UNREAD_LIMIT_S', 0.4)
