Let a single legal request through on a small machine

Cause: with the default limits (bodies of 64 MiB) on a machine of 200 MB, the limit of held bytes is the size of the largest request (66 MB), and steps begin below it. In calm, a body of 50 MB alone was always refused with 503; with one other address connected, one of 38 MB was, and one of 50 MB was cut.

Change: nothing is done about a connection that holds at most one largest request while all others together hold at most an eighth of the limit of the machine. All held bytes may then pass the former limit by that eighth.

--- a/sesamejunction/decisions/clientbudget.py
+++ b/sesamejunction/decisions/clientbudget.py
@@ -22,6 +22,9 @@
 MIN_HELD_BYTES = 8 * MEBIBYTE
 # Callers share machines, and many may share one address.
 ADDRESS_PART = 0.75
+# Part of the limit that other connections may hold while a single request of
+# the largest size is let through. The objects of 640 connections take 5 MB.
+BESIDE_PART = 0.125
 # A connection that holds less than this part of an equal share is never
 # paused or refused.
 FAIR_PART = 0.5
@@ -117,6 +120,7 @@
     def __init__(self, limits: Limits, find_single_bytes=lambda: 0):
         self._limits = limits
         self._calm_bytes = int(limits.held_bytes * STEPS[-1][0] * ADDRESS_PART)
+        self._beside_bytes = int(limits.held_bytes * BESIDE_PART)
         self._find_single_bytes = find_single_bytes
         self._addresses = {}
         self.holders = {kind: set() for kind in Kind}
@@ -161,6 +165,8 @@
 
     def find_step(self, holder: Holder, wanted: int = 0) -> Step:
         """Return what is done about a connection that wants more bytes."""
+        if self._is_single(holder, wanted):
+            return Step.CALM
         limit = self.limit
         share = max(
             (self.held + wanted) / limit,
@@ -176,6 +182,13 @@
         """Return the part of a limit that one address may have."""
         return ADDRESS_PART if len(self._addresses) > 1 else 1.0
 
+    def _is_single(self, holder, wanted=0) -> bool:
+        """Return whether a connection has one legal request beside little."""
+        return (
+            self.held - holder.held <= self._beside_bytes
+            and holder.held + wanted <= self._find_single_bytes()
+        )
+
     def _is_heavy(self, holder, wanted) -> bool:
         count = sum(map(len, self.holders.values()))
         return holder.held + wanted > self.limit * FAIR_PART / max(1, count)
@@ -190,7 +203,10 @@
         address = holder.address
         if self.held <= limit and address.held <= limit * self._address_part:
             return None
-        candidates = itertools.chain(*self.holders.values())
+        candidates = list(itertools.chain(*self.holders.values()))
+        largest = max(candidates, key=lambda one: one.held)
+        if self._is_single(largest):
+            return None
         if self.held <= limit:
             candidates = (one for one in candidates if one.address is address)
         return max(
--- a/test/test_clientbudget.py
+++ b/test/test_clientbudget.py
@@ -7,6 +7,7 @@
 LIMIT = 1000
 CALLER = clientbudget.Kind.CALLER
 CALM, PAUSE, REFUSE, CLOSE = clientbudget.Step
+OLD, NEW = 0.0, 90.0
 
 
 def build_budget(rows, single_bytes=0, limit=LIMIT, connections=10):
@@ -75,7 +76,27 @@
     assert budget.find_step(holders['own'], wanted) is step
 
 
-OLD, NEW = 0.0, 90.0
+# Guards against a legal request that a small machine refuses or cuts although
+# nothing else is going on. Columns: bytes held by one of four other clients,
+# what has arrived of the request, what is still to come, the step.
+@pytest.mark.parametrize(
+    ('others', 'own', 'wanted', 'step'),
+    [
+        (30, 1, 989, CALM),
+        (30, 990, 0, CALM),
+        (30, 991, 0, CLOSE),
+        (60, 1, 989, CLOSE),
+        (60, 990, 0, CLOSE),
+    ],
+)
+def test_largest_request_passes_in_calm(others, own, wanted, step):
+    rows = [(str(one), 'x', others, OLD) for one in range(4)]
+    budget, holders = build_budget([*rows, ('own', 'a', own, OLD)], 990)
+    assert budget.find_step(holders['own'], wanted) is step
+    is_cut = budget.find_heaviest(holders['own'], NEW) is not None
+    assert is_cut is (step is CLOSE and not wanted)
+
+
 # Columns: rows of holders, the one that has grown, the one to close.
 HEAVIEST = {
     'below the limit': (
