End heads of connections that are paused for want of memory

Cause: the time limit of a head began anew while the connection was not read. A crowd of heavy unfinished heads above half of the limit of memory was paused and never ended, as nothing of it could complete: heavy requests of others were held back for as long as the crowd stayed.

Change: such a head is refused with 503 after its time. Connections paused behind unanswered requests still get more time.

Measured: the new test waits without end before the change; test_clients, test_pipelinedhttp and test_floods pass after it (114 passed, 2 xpassed).

--- a/sesamejunction/border/callerinput.py
+++ b/sesamejunction/border/callerinput.py
@@ -230,11 +230,15 @@
         self._head_timer = None
         if self._input_ended or self._transport.is_closing():
             return
-        if self._is_reading_paused:
-            # The caller could not send it.
+        if not self._is_reading_paused:
+            self._fail_input(408, 'the head did not arrive in time')
+        elif self._ports.clients.must_pause(self.holder):
+            self._fail_input(503, 'the node is busy; nothing has run')
+        else:
+            # The caller could not send it behind unanswered requests.
             self._start_head_timer()
+            self.update_reading()
             return
-        self._fail_input(408, 'the head did not arrive in time')
         self._check_input()
 
     def _fail_input(self, status, reason) -> None:
--- a/test/test_clients.py
+++ b/test/test_clients.py
@@ -90,6 +90,22 @@
     assert b'Retry-After' not in received
 
 
+async def test_unfinished_head_ends_while_memory_is_short(server):
+    """Guards against a crowd of heads that are neither read nor ended."""
+    reader, writer = await connect(server)
+    writer.write(REQUEST[:20])
+    while server.clients.held_bytes <= clients.CONNECTION_BYTES:
+        await asyncio.sleep(0.01)
+    (connection,) = server.ports.connections
+    server.clients.hold(connection.holder, HELD_BYTES * 5 // 8)
+    connection.update_reading()
+    async with asyncio.timeout(5.0):
+        received = await reader.read(-1)
+    assert received.startswith(b'HTTP/1.1 503 ')
+    assert server.clients.held_bytes == 0
+    writer.close()
+
+
 # Guards against "busy, retry" for a body that is never accepted. Columns: the
 # announced length, the status.
 @pytest.mark.parametrize(
