Run nothing behind an answer that closes the connection

Cause: an answer in parts takes seconds to leave. If it closed the connection, as at a planned stop, requests that arrived meanwhile still started; their answers were never sent. The caller sends them again elsewhere, so that a request that may not be repeated ran twice.

Change: input ends when the last answer begins to leave, not when it has left.

Measured: the new test fails before the change ('/again' was run); it passes after it, as do test_pipelinedhttp and test_clients. In test_pacedreplies the row 'before a body that is asked for' fails before and after this change.

--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -283,6 +283,9 @@
         if self._ports.line is None or is_small:
             self._write_reply(exchange, sendable.closes)
             return self._finish_answer(exchange, sendable.closes)
+        if sendable.closes:
+            # The caller sends what follows again, so none of it may run.
+            self._input_ended = True
         self._parts_task = asyncio.ensure_future(
             self._send_parts(exchange, sendable.closes)
         )
--- a/test/test_pacedreplies.py
+++ b/test/test_pacedreplies.py
@@ -30,7 +30,7 @@
         self.open = set()
         self.granted = []
         self.error = None
-        self.ports = None
+        self.ports = self.handler = None
 
     def begin(self, size, rank, deadline):
         self.open.add(size)
@@ -53,12 +53,12 @@
     ports = pipelinedhttp.ServerPorts(
         handler.handle,
         lambda request: request.method == 'GET',
-        lambda: False,
+        lambda: handler.stopping,
         lambda: plain.HEAD_LIMIT,
         asyncio.get_running_loop().time,
         line=line,
     )
-    line.ports = ports
+    line.ports, line.handler = ports, handler
     server = pipelinedhttp.CallerServer(ports)
     await server.start(plain.HOST, unused_tcp_port, 10)
     yield unused_tcp_port, line
@@ -132,6 +132,23 @@
     writer.transport.abort()
 
 
+async def test_nothing_runs_behind_the_last_answer(paced):
+    # Guards against a request that arrives while the last answer of a stopping
+    # node leaves: its caller sends it again elsewhere, so it would run twice.
+    port, line = paced
+    line.delay_s, line.handler.stopping = 0.02, True
+    reader, writer = await asyncio.open_connection(plain.HOST, port)
+    writer.write(plain.request('/large').encode())
+    received = await reader.readuntil(b'xxx')
+    assert b'Connection: close' in received
+    writer.write(plain.upload('/again', 3).encode())
+    received += await reader.read(-1)
+    assert received.endswith(LARGE)
+    assert plain.list_statuses(received.decode()) == [200]
+    assert line.handler.started == ['/large']
+    writer.close()
+
+
 async def test_connection_is_busy_between_parts(paced):
     # Guards against a large answer that is cut as an idle connection, and
     # against parts that count as progress of a slow reader.
