Count a late answer for as long as its parts leave

Cause: 30 s after the deadline of its request an answer was no longer counted although its caller still read it. A planned stop did not wait for it and cut it off.

Change: the 30 s begin anew with each part that leaves.

Measured: the row of a part at 30 s fails before the change; test_linebudget and test_largeanswers pass after it.

--- a/sesamejunction/decisions/linebudget.py
+++ b/sesamejunction/decisions/linebudget.py
@@ -217,11 +217,16 @@
         return promise is not None and not promise.left
 
     def list_overdue(self, limit_s: float, now: float) -> list[int]:
-        """Return the answers that should have left ``limit_s`` ago."""
+        """Return the answers that should have left ``limit_s`` ago.
+
+        One whose parts still leave is late, but its count is no leftover.
+        """
         return [
             number
             for number, promise in self._promises.items()
-            if now >= promise.answer.latest + limit_s
+            if now
+            >= limit_s
+            + max(promise.answer.latest, promise.moved_at or float('-inf'))
         ]
 
     def _list_moving(self, now) -> list[Promise]:
--- a/test/test_linebudget.py
+++ b/test/test_linebudget.py
@@ -214,3 +214,15 @@
     for size in sizes:
         means.record('route', size)
     assert means.expect('route') == pytest.approx(expected, rel=0.1)
+
+
+# Guards against a planned stop that cuts a late answer while its parts leave,
+# and against a count that nobody releases. Rows: when the latest part left,
+# None for an answer that does not exist, and whether it is a leftover.
+@pytest.mark.parametrize(
+    ('moved_at', 'is_overdue'), [(None, True), (0.5, True), (30.0, False)]
+)
+def test_leaving_answer_is_no_leftover(moved_at, is_overdue):
+    budget = linebudget.LineBudget(1e6)
+    budget.promise(expect(1, latest=1.0), moved_at)
+    assert budget.list_overdue(30.0, 31.0) == [1] * is_overdue
