--- a/sesamejunction/tasks/recovery.py
+++ b/sesamejunction/tasks/recovery.py
@@ -112,8 +112,7 @@
         if phase is not state.EraPhase.LOST:
             self._settled, self._as_of = copy, view.as_of
         else:
-            as_of = view.find_as_of(self._settled.end)
-            self._as_of = max(self._as_of, as_of)
+            self._as_of = self._find_as_of()
         if era > self._era:
             self._registrar.tell(
                 registry.TopicChanged(self._follower.topic_name, copy)
