Take the size of the machine from the platform's table of limits

Cause: the template named the memory and the descriptors one by one.

The template passes the whole table, which platform/machines decodes. The test of the template failed before.

--- a/sesamejunction/border/hostedsettings.py
+++ b/sesamejunction/border/hostedsettings.py
@@ -103,6 +103,12 @@
         description='descriptors that the process may open; limits the'
         ' connections of clients; the default when unknown',
     )
+    machine: str = pydantic.Field(
+        default='',
+        description='size of the machine as the platform states it, a JSON'
+        ' object; what it names goes before the memory and the descriptors'
+        ' above',
+    )
     bounds: str = pydantic.Field(
         default='',
         description='limits of the platform, as NAME=VALUE separated by'
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -34,6 +34,7 @@
 from sesamejunction.platform import config
 from sesamejunction.platform import frontend
 from sesamejunction.platform import heartbeathttp
+from sesamejunction.platform import machines
 from sesamejunction.platform import metrics
 from sesamejunction.platform import serverclient
 from sesamejunction.platform import store
@@ -101,9 +102,14 @@
         self._metrics = hostedmetrics.HostedMetrics()
         self._usage = usage.ProcessUsage(usage.Traffic(), self._metrics)
         self._states = porting.StateView()
+        machine_size = machines.decode_machine(
+            node_settings.machine,
+            node_settings.memory_mb,
+            node_settings.max_descriptors,
+        )
         self.clients = clients.Clients(
             clientbudget.derive_limits(
-                node_settings.memory_mb, node_settings.max_descriptors
+                machine_size.memory_mb, machine_size.descriptors
             ),
             self._host,
             self._find_largest_request,
--- a/test/test_platform.py
+++ b/test/test_platform.py
@@ -28,6 +28,7 @@
 from sesamejunction.platform import config
 from sesamejunction.platform import frontend
 from sesamejunction.platform import heartbeathttp
+from sesamejunction.platform import machines
 from sesamejunction.platform import store
 from sesamejunction.tasks import follower
 from sesamejunction.tasks import registrar
@@ -744,6 +745,37 @@
     assert (found.memory_mb, found.max_descriptors) == expected
 
 
+# Rows: the platform's table, and the size beside settings of 512 MB and 64.
+MACHINES = {
+    'none': ('', (512.0, 64)),
+    'both': ('{"memoryMb":200,"maxFds":4100,"cores":1}', (200.0, 4100)),
+    'other values only': ('{"linkMbps":10.0}', (512.0, 64)),
+    'memory only': ('{"memoryMb":300.5}', (300.5, 64)),
+    'null': ('{"memoryMb":null,"maxFds":null}', (512.0, 64)),
+    'no size': ('{"memoryMb":0,"maxFds":4100}', (512.0, 64)),
+    'no JSON': ("{'memoryMb': 200}", (512.0, 64)),
+}
+
+
+@pytest.mark.parametrize(('text', 'size'), MACHINES.values(), ids=MACHINES)
+def test_machine_size_is_read(text, size):
+    # Guards against limits that do not follow the machine, and against a node
+    # that does not start for a table of another version.
+    found = machines.decode_machine(text, 512.0, 64)
+    assert (found.memory_mb, found.descriptors) == size
+
+
+def test_template_needs_no_size_of_the_machine():
+    """Guards against settings that cannot be rendered, as in review/."""
+    root = pathlib.Path(__file__).parent.parent
+    template = (root / 'deploy/node.settings').read_text()
+    names = set(re.findall(r'{{([\w.]+)}}', template))
+    assert {name for name in names if name.startswith('limits')} == {
+        'limits.linkMbps',
+        'limits',
+    }
+
+
 BAD_SETTINGS = {
     'no port': ({'CALLERS': '10.0.0.1'}, '--callers'),
     'port out of range': ({'TARGET': '10.0.0.1:99999'}, '--target'),
