--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -140,7 +140,7 @@
             'limits': {
                 'cpuShare': 0.86,
                 'cores': 1,
-                'memoryMb': 300,
+                'memoryMb': self._fleet.memory_mb,
                 'maxFds': 4100,
                 'linkMbps': self._fleet.link_mbps,
                 'diskMb': 0,
@@ -363,13 +363,20 @@
     """Nodes, their servers and a store; ends all on exit."""
 
     def __init__(
-        self, record, services, config, kind=Server, link_mbps=1000.0
+        self,
+        record,
+        services,
+        config,
+        kind=Server,
+        link_mbps=1000.0,
+        memory_mb=300,
     ):
         self.record = record
         self.store = storing.Store()
         self.store.era = 1
         self.config = config
         self.link_mbps = link_mbps
+        self.memory_mb = memory_mb
         self._kind = kind
         self.nodes = []
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
