Callers that read slowly are not reset by the system

Callers saw a reset connection in the middle of an answer, though they read all the time: 150,000 bytes a second of 524,288.

Cause: listeners set TCP_USER_TIMEOUT (2 s), which accepted sockets inherit. The system counts the time in which the window of the peer is too small for a segment. A caller that reads slowly keeps it so, also while it takes bytes; so does one that pauses for over 2 s. The limit of 10 s without a byte taken (clients.UNREAD_LIMIT_S) never had its turn.

Change: listeners do not set the option. Connections between nodes and to targets set it themselves, as before.

--- a/sesamejunction/border/httpclient.py
+++ b/sesamejunction/border/httpclient.py
@@ -61,18 +61,22 @@
 
 
 def bind_listener(host: str, port: int) -> socket.socket:
-    """Return a bound socket; accepted ones have TCP_USER_TIMEOUT set too."""
+    """Return a bound socket for callers and other nodes.
+
+    It has no TCP_USER_TIMEOUT, which would reset the connections of callers
+    that read slowly: the system counts the time in which their window is too
+    small, also while they take bytes.
+    """
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    set_user_timeout(sock)
     sock.bind((host, port))
     sock.setblocking(False)
     return sock
 
 
 def set_user_timeout(connection: socket.socket) -> None:
-    """Set TCP_USER_TIMEOUT; sockets accepted by a listener inherit it."""
+    """Set TCP_USER_TIMEOUT, for connections whose peer always reads."""
     connection.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timing.TCP_USER_TIMEOUT_MS
     )
