A planned stop waits until callers have received their answers

Cause: an answer counted as finished once its last part was handed to the transport. Open requests, the line's open answers and the memory of callers each ended there or earlier; the stop asked the first two, and CallerServer.close aborted what the transport still held. Whole answers and answers behind an unread one of the same connection were lost in the same way.

Evidence: a trial that logged each connection at its close found four closing ones with 32,768, 16,384, 32,768 and 16,384 bytes in the buffer of the process, the bytes that were missing.

Change: the connection says whether it owes its caller something (Connection.is_answering), down to bytes that the caller's system has not acknowledged, and the stop waits for that. A large answer leaves the line when the socket has taken it. At the limit of the stop the last answers have a twelfth of the grace time more, in place of 0.1 s; a caller that reads nothing is then cut. The log lines of a stop count the connections.

Why it works: nothing closes a connection before its answers have arrived, whichever buffer holds them, and the wait is bounded inside the grace time.

--- a/sesamejunction/border/clients.py
+++ b/sesamejunction/border/clients.py
@@ -183,8 +183,16 @@
 
 
 def count_unsent_bytes(transport) -> int:
-    """Return the bytes that wait in this process or in the socket."""
+    """Return the bytes that wait in this process or in the socket.
+
+    The system counts what the peer has not acknowledged, as long as the
+    socket is open.
+    """
     count = transport.get_write_buffer_size()
     sock = transport.get_extra_info('socket')
-    queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    try:
+        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        # The socket has just been closed.
+        return count
     return count + struct.unpack('i', queued)[0]
--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -10,6 +10,7 @@
 from sesamejunction.border import callerinput
 from sesamejunction.border import callermessages
 from sesamejunction.border import clients
+from sesamejunction.border import delivery
 from sesamejunction.border import httpclient
 from sesamejunction.decisions import clientbudget
 from sesamejunction.decisions import pipelines
@@ -35,8 +36,6 @@
 # Send buffer of each socket; the kernel doubles it. Without it the kernel took
 # 2.8 MB of an answer that a caller did not read, which no limit counted.
 SEND_BUFFER_BYTES = 1 << 17
-# Checks of an unread answer within clients.UNREAD_LIMIT_S.
-UNREAD_CHECKS = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,9 +81,7 @@
         self._writable = None
         # Memory that is counted for answers which the socket has not taken.
         self._unsent_held = 0
-        self._unsent_bytes = 0
-        self._unsent_since = 0.0
-        self._unread_timer = None
+        self._delivery = None
         self._idle_since = 0.0
         self._idle_timer = None
         self._drop_timer = None
@@ -92,6 +89,7 @@
     def connection_made(self, transport):
         """Register the connection, so that it is closed on shutdown."""
         self._transport = transport
+        self._delivery = delivery.Delivery(transport, self._cut_unread)
         # The protocol is told as soon as bytes wait in this process.
         transport.set_write_buffer_limits(0)
         self._ports.connections.add(self)
@@ -108,6 +106,20 @@
         """Cancel all requests: their answers cannot be sent."""
         self._release()
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether a close now could cost the caller an answer.
+
+        An answer counts until the caller's system has acknowledged its last
+        byte, and while the rest of an upload behind it is read.
+        """
+        return (
+            bool(self._exchanges)
+            or self._parts_task is not None
+            or self._drop_timer is not None
+            or self._delivery.unsent_bytes > 0
+        )
+
     def cut(self) -> None:
         """Close the connection at once and free what is held for it."""
         self._transport.abort()
@@ -123,9 +135,8 @@
         self._ports.clients.leave(self.holder)
         self.cancel_head_timer()
         self.end_dropping()
-        for timer in (self._idle_timer, self._unread_timer):
-            if timer is not None:
-                timer.cancel()
+        self._delivery.release()
+        self._idle_timer.cancel()
         exchanges, self._exchanges = self._exchanges, {}
         for exchange in exchanges.values():
             exchange.request.drop()
@@ -146,21 +157,14 @@
     def pause_writing(self):
         """Hold further answers: the caller does not read."""
         self._is_writing_paused = True
-        if self._unread_timer is None:
-            loop = asyncio.get_running_loop()
-            self._unsent_bytes, self._unsent_since = 0, loop.time()
-            self._unread_timer = loop.call_later(
-                clients.UNREAD_LIMIT_S / UNREAD_CHECKS, self._check_unread
-            )
+        self._delivery.watch()
 
     def resume_writing(self):
         """Send the answers that were held."""
         self._is_writing_paused = False
         if self._writable is not None and not self._writable.done():
             self._writable.set_result(None)
-        if self._unread_timer is not None:
-            self._unread_timer.cancel()
-            self._unread_timer = None
+        self._delivery.unwatch()
         unsent, self._unsent_held = self._unsent_held, 0
         self._ports.clients.hold(self.holder, -unsent)
         if self._parts_task is None:
@@ -300,12 +304,11 @@
             body = memoryview(reply.body)
             for start in range(0, len(body), REPLY_PART_BYTES):
                 part = body[start : start + REPLY_PART_BYTES]
-                if self._is_writing_paused:
-                    loop = asyncio.get_running_loop()
-                    self._writable = loop.create_future()
-                    await self._writable
+                await self._wait_until_writable()
                 await line.grant(len(part), reply.rank, reply.deadline, number)
                 self._transport.write(part)
+            # The body is in memory until the socket has taken its last byte.
+            await self._wait_until_writable()
         except BaseException:
             # The caller must not take a part for the whole answer.
             self.abort()
@@ -318,6 +321,11 @@
             self._advance()
             self.update_reading()
 
+    async def _wait_until_writable(self) -> None:
+        if self._is_writing_paused:
+            self._writable = asyncio.get_running_loop().create_future()
+            await self._writable
+
     def _finish_answer(self, exchange, closes) -> bool:
         """Note a written answer; return whether another may follow."""
         if not self._exchanges:
@@ -418,21 +426,10 @@
             self._drop_timer.cancel()
             self._drop_timer = None
 
-    def _check_unread(self) -> None:
-        """Cut a caller that takes no byte of its answer for some time."""
-        loop = asyncio.get_running_loop()
-        unsent = clients.count_unsent_bytes(self._transport)
-        if unsent != self._unsent_bytes:
-            self._unsent_bytes, self._unsent_since = unsent, loop.time()
-        elif loop.time() - self._unsent_since >= clients.UNREAD_LIMIT_S * (
-            1 - 1 / UNREAD_CHECKS
-        ):
-            self._ports.clients.record_refusal(self.holder, 'unread')
-            self.cut()
-            return
-        self._unread_timer = loop.call_later(
-            clients.UNREAD_LIMIT_S / UNREAD_CHECKS, self._check_unread
-        )
+    def _cut_unread(self) -> None:
+        """Close the connection of a caller that reads no answer."""
+        self._ports.clients.record_refusal(self.holder, 'unread')
+        self.cut()
 
     def _check_idle(self) -> None:
         loop = asyncio.get_running_loop()
@@ -473,6 +470,19 @@
         """Refuse new connections; the open ones go on."""
         self._listener.close()
 
+    @property
+    def is_answering(self) -> bool:
+        """Return whether a caller has not received all of its answers."""
+        return any(
+            connection.is_answering for connection in self._ports.connections
+        )
+
+    def count_answering(self) -> int:
+        """Return the number of connections with answers on their way."""
+        return sum(
+            connection.is_answering for connection in self._ports.connections
+        )
+
     async def close(self) -> None:
         """Close the listener and all connections."""
         self._listener.close()
--- a/sesamejunction/ui/hostednode.py
+++ b/sesamejunction/ui/hostednode.py
@@ -19,10 +19,11 @@
 # find it not ready.
 CALLER_LEAVE_S = 2.3
 POLL_INTERVAL_S = 0.02
-# Time for the answers to requests that outlast the stop to leave this node.
-LAST_ANSWERS_S = 0.1
-# Part of the platform's grace time that a stop may use.
+# Part of the platform's grace time that a stop may use for requests.
 GRACE_PART = 5 / 6
+# Part of the grace time that follows for answers that have not arrived. The
+# rest is for closing down.
+LAST_ANSWERS_PART = 1 / 12
 
 
 class Process:
@@ -123,7 +124,9 @@
         components = self._components
         components.begin_stop()
         eliot.log_message(
-            'node: stopping', open=components.count_open_requests()
+            'node: stopping',
+            open=components.count_open_requests(),
+            answering=self._count_answering(),
         )
         await asyncio.sleep(min(CALLER_LEAVE_S, limit_s / 2))
         components.refuse_new_work()
@@ -137,23 +140,44 @@
         cut = components.count_open_requests()
         if cut:
             components.end_requests()
-            await asyncio.sleep(LAST_ANSWERS_S)
-        eliot.log_message('node: stopped', cut=cut)
+        # At the deadline some callers may still read their answers.
+        await self._wait_for_answers(deadline + self._find_answer_limit())
+        eliot.log_message(
+            'node: stopped', cut=cut, unread=self._count_answering()
+        )
 
     def _find_stop_limit(self) -> float:
         """Return the longest time for a planned stop, in seconds.
 
         The platform kills the process at the end of its grace time.
         """
-        grace_s = bounds.decode_grace(self._settings.bounds)
-        return min(self._settings.stop_limit_s, grace_s * GRACE_PART)
+        return min(self._settings.stop_limit_s, self._grace_s * GRACE_PART)
+
+    def _find_answer_limit(self) -> float:
+        """Return the longest wait for last answers, in seconds."""
+        return self._grace_s * LAST_ANSWERS_PART
+
+    @property
+    def _grace_s(self) -> float:
+        return bounds.decode_grace(self._settings.bounds)
 
     async def _wait_for_requests(self, deadline: float) -> None:
-        loop = asyncio.get_running_loop()
-        while (
-            self._components.count_open_requests() and loop.time() < deadline
-        ):
-            await asyncio.sleep(POLL_INTERVAL_S)
+        """Wait until no request is open and all answers have arrived."""
+        await wait_while(
+            lambda: (
+                self._components.count_open_requests() or self._is_answering()
+            ),
+            deadline,
+        )
+
+    async def _wait_for_answers(self, deadline: float) -> None:
+        await wait_while(self._is_answering, deadline)
+
+    def _is_answering(self) -> bool:
+        return any(site.is_answering for site in self._caller_sites)
+
+    def _count_answering(self) -> int:
+        return sum(site.count_answering() for site in self._caller_sites)
 
     def _reload(self) -> None:
         """Read the settings again and log which have changed.
@@ -208,6 +232,13 @@
             self.failed.set_exception(task.exception())
 
 
+async def wait_while(condition, deadline: float) -> None:
+    """Wait until a condition ends; ``deadline`` is a time of the loop."""
+    loop = asyncio.get_running_loop()
+    while condition() and loop.time() < deadline:
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 async def run_node(node_settings: hostedsettings.HostedSettings) -> None:
     """Run a node until a planned stop."""
     async with Process(node_settings) as process:
--- a/test/process/test_hosted.py
+++ b/test/process/test_hosted.py
@@ -18,6 +18,7 @@
 
 from standins import keyserver
 from standins import store as storing
+from test import slowcallers
 
 pytestmark = pytest.mark.process
 
@@ -315,6 +316,16 @@
         except aiohttp.ClientError:
             return 0, b''
 
+    def encode_order(self, deadline_ms) -> bytes:
+        """Return an order for a raw connection."""
+        self._count += 1
+        return (
+            'POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            f'X-Attempt-Id: attempt-{self._count}\r\n'
+            f'X-Deadline-Ms: {deadline_ms}\r\n'
+            f'Authorization: Token {KEY}\r\nContent-Length: 0\r\n\r\n'
+        ).encode()
+
     async def fetch_metrics(self, machine):
         """Return the text of a machine's metrics page."""
         url = f'http://{machine.address("metrics")}/metrics'
@@ -648,6 +659,66 @@
         assert owner.process.returncode == 0
 
 
+# Time from the signal until the platform kills the process.
+GRACE_S = 6.0
+
+
+# Guards against a node that ends while callers read their answers: four of
+# eight downloads lacked their last 16 or 32 KB. Columns: the machine that
+# stops, which asks the node of another one or the target beside it; size of
+# an answer; bytes that callers read a second; when they send, in seconds from
+# the signal. All still read when the node refuses new work.
+@pytest.mark.parametrize(
+    ('stopping', 'size', 'rate', 'sent_at'),
+    [
+        (0, 524_288, 300_000, (1.0, 1.5, 1.6, 1.7, 1.8, 1.9)),
+        (3, 1_100_000, 250_000, (-0.4, -0.3, -0.2)),
+    ],
+)
+async def test_planned_stop_waits_for_slow_callers(
+    stopping, size, rate, sent_at
+):
+    async with Fleet() as fleet:
+        machine, owner = fleet.machines[stopping], fleet.machines[3]
+        owner.server.response_body = bytes(size)
+        address = machine.host, machine.ports['callers']
+
+        async def call_at(at_s):
+            await asyncio.sleep(lead_s + at_s)
+            return await slowcallers.call_slowly(
+                address, fleet.encode_order(4000), slowcallers.Slowness(rate)
+            )
+
+        lead_s = max(0.0, -min(sent_at))
+        calling = asyncio.gather(*map(call_at, sent_at))
+        await asyncio.sleep(lead_s)
+        started = time.monotonic()
+        await machine.end(signal.SIGTERM)
+        assert time.monotonic() - started < GRACE_S
+        for answers in await calling:
+            assert [len(one.body) for one in answers] == [size]
+        assert machine.process.returncode == 0
+
+
+async def test_planned_stop_gives_up_callers_that_read_nothing():
+    """Guards against a stop that lasts until the platform kills the node."""
+    async with Fleet() as fleet:
+        machine = fleet.machines[3]
+        machine.server.response_body = bytes(1 << 20)
+        sock = await slowcallers.connect(
+            (machine.host, machine.ports['callers'])
+        )
+        with contextlib.closing(sock):
+            await asyncio.get_running_loop().sock_sendall(
+                sock, fleet.encode_order(4000)
+            )
+            await asyncio.sleep(0.1)
+            started = time.monotonic()
+            await machine.end(signal.SIGTERM)
+            assert time.monotonic() - started < GRACE_S
+        assert machine.process.returncode == 0
+
+
 # When, and for how long, the node of a running request is paused. The pause is
 # longer than the 0.8 s after which a connection counts as silent, and shorter
 # than the 1.5 s after which a member does.
--- /dev/null
+++ b/test/test_delivery.py
@@ -0,0 +1,160 @@
+"""Answers that callers have not received yet, over real connections."""
+
+import asyncio
+import types
+
+import pytest
+
+from sesamejunction.border import pipelinedhttp
+from sesamejunction.ui import hostednode
+from test import slowcallers
+from test import test_pacedreplies as paced
+from test import test_pipelinedhttp as plain
+
+# More than the socket buffers of a connection hold, and less.
+LONG = 1 << 20
+SHORT = 200_000
+
+
+class SizeHandler:
+    """Answers with as many bytes as the path asks for.
+
+    A POST is answered before its body has arrived.
+    """
+
+    def __init__(self):
+        self.stopping = False
+        self.open = 0
+
+    async def handle(self, request):
+        self.open += 1
+        await asyncio.sleep(0.01)
+        self.open -= 1
+        size = int(request.raw_path.rpartition('/')[2])
+        return pipelinedhttp.CallerReply(200, (), bytes(size))
+
+
+class StoppingComponents:
+    """Counts the requests of a handler and the answers on a line."""
+
+    def __init__(self, handler, line):
+        self._handler = handler
+        self._line = line
+
+    def begin_stop(self):
+        self._handler.stopping = True
+
+    def count_open_requests(self):
+        on_line = 0 if self._line is None else len(self._line.open)
+        return self._handler.open + on_line
+
+    def refuse_new_work(self):
+        pass
+
+    def end_requests(self):
+        pass
+
+    async def close_peer_connections(self, _ends):
+        pass
+
+
+@pytest.fixture
+async def node(unused_tcp_port, monkeypatch):
+    """Yield a function that opens a server, and stops it as a node does."""
+    monkeypatch.setattr(hostednode, 'CALLER_LEAVE_S', 0.1)
+    servers = []
+
+    async def open_node(line=None, stop_limit_s=5.0, bounds=''):
+        handler = SizeHandler()
+        ports = pipelinedhttp.ServerPorts(
+            handler.handle,
+            lambda request: request.method == 'GET',
+            lambda: handler.stopping,
+            lambda: plain.HEAD_LIMIT,
+            asyncio.get_running_loop().time,
+            line=line,
+        )
+        server = pipelinedhttp.CallerServer(ports)
+        servers.append(server)
+        await server.start(plain.HOST, unused_tcp_port, 10)
+        process = hostednode.Process(
+            types.SimpleNamespace(stop_limit_s=stop_limit_s, bounds=bounds)
+        )
+        process._components = StoppingComponents(handler, line)
+        process._caller_sites = [server]
+
+        async def stop():
+            await process._stop()
+            await server.close()
+
+        return types.SimpleNamespace(
+            address=(plain.HOST, unused_tcp_port),
+            stop=stop,
+            connections=ports.connections,
+        )
+
+    yield open_node
+    for server in servers:
+        await server.close()
+
+
+def request(size, method='GET', fields=''):
+    return plain.request(f'/{size}', method, fields).encode()
+
+
+# Several sizes, since the buffers of the system take bytes in large steps.
+CALLERS = 4
+SIZE_STEP = 24_000
+# Rows: whether answers leave in parts, the least size of an answer, what a
+# caller sends for one of a size, how it reads, and how many answers it gets.
+STOPS = {
+    'whole answer': (False, LONG, request, slowcallers.Slowness(), 1),
+    'answer in parts': (
+        *(True, LONG // 2, request, slowcallers.Slowness(rate=300_000), 1),
+    ),
+    'answer behind an unread one': (
+        *(False, LONG, lambda size: request(size) * 2),
+        *(slowcallers.Slowness(), 2),
+    ),
+}
+
+
+# Guards against a planned stop that ends while answers are in the buffers of
+# the process or of the system: callers got all but the last 16 to 32 KB.
+@pytest.mark.parametrize(
+    ('in_parts', 'least', 'encode', 'slowness', 'count'),
+    STOPS.values(),
+    ids=STOPS,
+)
+async def test_planned_stop_waits_until_answers_have_arrived(
+    node, in_parts, least, encode, slowness, count
+):
+    stopping = await node(paced.FakeLine() if in_parts else None)
+    sizes = [least + number * SIZE_STEP for number in range(CALLERS)]
+    calls = [
+        asyncio.ensure_future(
+            slowcallers.call_slowly(stopping.address, encode(size), slowness)
+        )
+        for size in sizes
+    ]
+    await asyncio.sleep(0.05)
+    await stopping.stop()
+    for size, answers in zip(sizes, await asyncio.gather(*calls), strict=True):
+        assert [len(one.body) for one in answers] == [size] * count
+
+
+# Guards against a stop that a caller without a read holds up until the
+# platform kills the process. Columns: size of the answer.
+@pytest.mark.parametrize('size', [LONG, SHORT])
+async def test_unread_answer_does_not_outlast_the_grace_time(node, size):
+    stopping = await node(stop_limit_s=0.5, bounds='graceS=1.0')
+    sock = await slowcallers.connect(stopping.address)
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(sock, request(size))
+    await asyncio.sleep(0.05)
+    started = loop.time()
+    await stopping.stop()
+    assert loop.time() - started < 1.0
+    await asyncio.sleep(0.05)
+    assert not stopping.connections
+    sock.close()
--- a/test/test_fuzz.py
+++ b/test/test_fuzz.py
@@ -198,6 +198,7 @@
     transport = mock.Mock()
     transport.is_closing.return_value = False
     transport.get_write_buffer_size.return_value = 0
+    transport.get_extra_info.return_value.fileno.return_value = -1
     connection.connection_made(transport)
     connection.data_received(data)
     await asyncio.sleep(0)
--- a/test/test_stop.py
+++ b/test/test_stop.py
@@ -48,9 +48,13 @@
 
 
 class FakeSite:
-    """Stands in for the listener of callers."""
+    """Stands in for the listener of callers, who have all their answers."""
 
     stopped = False
+    is_answering = False
+
+    def count_answering(self):
+        return 0
 
     async def stop(self):
         self.stopped = True
