A connection is closed only when its last answer has arrived

Callers saw their answer cut: with a reset when they went on sending, and with an early end when they read slowly. 65,434 of 200,000 bytes arrived of an early answer to an upload, 49,050 to 150,950 of 200,000 where a caller sent on behind an answer that closes the connection, 442,452 of 1 MiB where the rest of an upload stayed away. No stop is needed for these.

Cause, the same as at a planned stop: an answer counted as delivered when it was written. The time to read on (LINGER_S) began then and ended in an abort; so did the 10 s for the rest of an answered upload. A connection whose request was complete was closed at once; the system answers bytes that arrive later with a reset, which destroys what waits in the socket.

Change: the end of a connection is one step of border/delivery. It sends the end of the stream, goes on reading and closes when the caller's system has acknowledged the last byte, and LINGER_S later if a body is still sent. A caller that takes no byte for 10 s is cut as before. Idle connections and answered uploads end in the same way.

--- a/sesamejunction/border/pipelinedhttp.py
+++ b/sesamejunction/border/pipelinedhttp.py
@@ -26,8 +26,9 @@
 # connection closes.
 MAX_DROPPED_BYTES = 1 << 20
 DROP_TIMEOUT_S = 10.0
-# After the last answer, bytes of the caller are read for this time. Closing
-# with unread bytes would reset the connection and could destroy the answer.
+# Once the last answer has arrived, a caller that still sends a body is read
+# for this time. Closing with unread bytes would reset the connection, and the
+# caller could lose the answer.
 LINGER_S = 1.0
 # Replies of at least this size are written in parts, each when the line has
 # room for it; smaller ones take up to 0.05 s at 10 Mbit/s.
@@ -117,7 +118,7 @@
             bool(self._exchanges)
             or self._parts_task is not None
             or self._drop_timer is not None
-            or self._delivery.unsent_bytes > 0
+            or self._delivery.is_pending
         )
 
     def cut(self) -> None:
@@ -249,7 +250,7 @@
             )
             if not must_close:
                 self._drop_timer = asyncio.get_running_loop().call_later(
-                    DROP_TIMEOUT_S, self.abort
+                    DROP_TIMEOUT_S, self._give_up_body
                 )
         self.hold_for(exchange, len(reply.body))
         if number not in self._exchanges:
@@ -365,18 +366,13 @@
             self._note_progress()
 
     def _close_gracefully(self, is_all_read: bool) -> None:
-        """Close after the answer; wait for a caller that still sends."""
+        """Close once the answers have arrived; read what is still sent."""
         is_all_read = is_all_read and not self._receiving
         self._input_ended = True
-        if is_all_read:
-            self._transport.close()
-            return
         if self._is_reading_paused:
             self._is_reading_paused = False
             self._transport.resume_reading()
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        asyncio.get_running_loop().call_later(LINGER_S, self.abort)
+        self._delivery.end(0.0 if is_all_read else LINGER_S)
 
     def _request_body(self, exchange) -> None:
         exchange.is_body_wanted = True
@@ -426,6 +422,13 @@
             self._drop_timer.cancel()
             self._drop_timer = None
 
+    def _give_up_body(self) -> None:
+        """Close the connection if an answered upload does not end in time."""
+        self._drop_timer = None
+        self._input_ended = True
+        if not self._exchanges and self._parts_task is None:
+            self._close_gracefully(False)
+
     def _cut_unread(self) -> None:
         """Close the connection of a caller that reads no answer."""
         self._ports.clients.record_refusal(self.holder, 'unread')
@@ -443,7 +446,7 @@
         if is_open or self._head_timer is not None:
             due = loop.time() + idle_s
         elif loop.time() >= due:
-            self._transport.close()
+            self._close_gracefully(True)
             return
         self._idle_timer = loop.call_at(due, self._check_idle)
 
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sesamejunction.border import clients
 from sesamejunction.border import pipelinedhttp
 from sesamejunction.ui import hostednode
 from test import slowcallers
@@ -14,6 +15,8 @@
 # More than the socket buffers of a connection hold, and less.
 LONG = 1 << 20
 SHORT = 200_000
+UPLOAD_BYTES = 1 << 21
+SMALL_UPLOAD_BYTES = 1 << 19
 
 
 class SizeHandler:
@@ -102,6 +105,13 @@
     return plain.request(f'/{size}', method, fields).encode()
 
 
+def upload(size, body_size, sent):
+    """Return a request of which only a part of the body is sent."""
+    return plain.upload(f'/{size}', body_size, sent).encode()
+
+
+FURTHER = plain.request('/1').encode() * 400
+BODY = bytes(UPLOAD_BYTES)
 # Several sizes, since the buffers of the system take bytes in large steps.
 CALLERS = 4
 SIZE_STEP = 24_000
@@ -116,6 +126,15 @@
         *(False, LONG, lambda size: request(size) * 2),
         *(slowcallers.Slowness(), 2),
     ),
+    'early answer to an upload': (
+        *(False, SHORT, lambda size: upload(size, UPLOAD_BYTES, 1 << 10)),
+        *(slowcallers.Slowness(rate=150_000, further=BODY), 1),
+    ),
+    'caller that sends on': (
+        *(False, SHORT, lambda size: request(size, fields=plain.CLOSE)),
+        slowcallers.Slowness(rate=150_000, further=FURTHER, piece=100),
+        1,
+    ),
 }
 
 
@@ -158,3 +177,50 @@
     await asyncio.sleep(0.05)
     assert not stopping.connections
     sock.close()
+
+
+# Rows: what the caller sends and how it reads. The answer is the last one of
+# its connection.
+ENDS = {
+    'upload that goes on': (
+        upload(SHORT, UPLOAD_BYTES, 1 << 10),
+        slowcallers.Slowness(rate=150_000, further=BODY),
+    ),
+    'upload that stays away': (
+        upload(LONG, SMALL_UPLOAD_BYTES, 1 << 10),
+        slowcallers.Slowness(),
+    ),
+    'further requests': (
+        request(SHORT, fields=plain.CLOSE),
+        slowcallers.Slowness(rate=150_000, further=FURTHER, piece=100),
+    ),
+}
+
+
+# Guards against the end of a connection that destroys its last answer: the
+# time for the rest of an upload began when the answer was written, and a
+# close with unread bytes resets the connection.
+@pytest.mark.parametrize(('sent', 'slowness'), ENDS.values(), ids=ENDS)
+async def test_last_answer_arrives_before_the_connection_closes(
+    node, monkeypatch, sent, slowness
+):
+    monkeypatch.setattr(pipelinedhttp, 'LINGER_S', 0.2)
+    monkeypatch.setattr(pipelinedhttp, 'DROP_TIMEOUT_S', 0.2)
+    opened = await node()
+    (answer,) = await slowcallers.call_slowly(opened.address, sent, slowness)
+    assert (answer.status, answer.missing) == (200, 0)
+
+
+async def test_unread_last_answer_is_given_up(node, monkeypatch):
+    """Guards against connections that wait for ever for a caller to read."""
+    monkeypatch.setattr(clients, 'UNREAD_LIMIT_S', 0.4)
+    opened = await node()
+    sock = await slowcallers.connect(opened.address)
+    await asyncio.get_running_loop().sock_sendall(
+        sock, request(SHORT, fields=plain.CLOSE)
+    )
+    await asyncio.sleep(0.05)
+    async with asyncio.timeout(5.0):
+        while opened.connections:
+            await asyncio.sleep(0.02)
+    sock.close()
