A planned stop waits until other nodes have received their answers

Callers at another node could get 502 for a request that a stopping node had run: with 200,000 bytes of an answer in the socket's buffer and a node that reads slowly, 106,496 arrived.

Cause, the same as for callers: the stop asked only for bytes in the buffer of the process. It ended 0.5 s after it had asked its peers to close. What waits in the socket is lost if the peer sends anything more, and a ping is enough.

Change: close_connections counts bytes that the peer's system has not acknowledged.

--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -5,6 +5,7 @@
 import contextlib
 import dataclasses
 
+from sesamejunction.border import clients
 from sesamejunction.border import framing
 from sesamejunction.border import linkcodec
 from sesamejunction.commands import bodies
@@ -167,11 +168,14 @@
                 self._start_task(frame.id, self._answer_question(frame), True)
 
     @property
-    def buffered(self) -> int:
-        """Return the number of bytes in the write buffer."""
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the peer's system has not acknowledged.
+
+        If the process ends before, they are lost when the peer sends more.
+        """
         if self.transport.is_closing():
             return 0
-        return self.transport.get_write_buffer_size()
+        return clients.count_unsent_bytes(self.transport)
 
     def request_close(self) -> None:
         """Ask the peer to send no new requests and to close."""
@@ -351,7 +355,7 @@
     grace_ends = loop.time() + CLOSE_GRACE_S
     while ports.connections and loop.time() < ends_at:
         all_sent = not any(
-            connection.buffered for connection in ports.connections
+            connection.unsent_bytes for connection in ports.connections
         ) and not (ports.answers and ports.answers.line.open_answers)
         if all_sent and loop.time() >= grace_ends:
             return
--- a/test/test_delivery.py
+++ b/test/test_delivery.py
@@ -1,13 +1,22 @@
 """Answers that callers have not received yet, over real connections."""
 
 import asyncio
+import contextlib
+import socket
 import types
 
 import pytest
 
 from sesamejunction.border import clients
+from sesamejunction.border import framing
+from sesamejunction.border import linkcodec
 from sesamejunction.border import pipelinedhttp
+from sesamejunction.commands import wholebodies
+from sesamejunction.model import linking
+from sesamejunction.tasks import clock
+from sesamejunction.tasks import linkserver
 from sesamejunction.ui import hostednode
+from test import requestfakes
 from test import slowcallers
 from test import test_pacedreplies as paced
 from test import test_pipelinedhttp as plain
@@ -224,3 +233,53 @@
         while opened.connections:
             await asyncio.sleep(0.02)
     sock.close()
+
+
+def encode_frame(frame) -> bytes:
+    data = framing.ENCODER.encode(frame)
+    return framing.LENGTH.pack(len(data)) + data
+
+
+async def test_planned_stop_waits_for_answers_to_other_nodes():
+    """Guards against an answer to another node that the stop cuts.
+
+    The whole answer is in the buffer of the system, the other node reads
+    slowly, and it sends a ping meanwhile.
+    """
+    loop, secret = asyncio.get_running_loop(), b'secret'
+
+    async def answer(_head, _body):
+        return wholebodies.build_answer(200, (), bytes(SHORT))
+
+    ports = linkserver.ServerPorts(2, secret, answer, None)
+    listener = socket.create_server((plain.HOST, 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LONG)
+    server = await loop.create_server(
+        lambda: linkserver.LinkServer(ports), sock=listener
+    )
+    sock = await slowcallers.connect(listener.getsockname())
+    with contextlib.closing(sock):
+        now = clock.read_boot_clock()
+        hello = linking.Hello(0, 1, 2, framing.sign_hello(secret, 1, 2))
+        work = linkcodec.encode_work(1, requestfakes.HEAD, b'', now)
+        for frame in (hello, work):
+            await loop.sock_sendall(sock, encode_frame(frame))
+        await asyncio.sleep(0.1)
+
+        async def stop():
+            server.close()
+            await linkserver.close_connections(ports, loop.time() + 5.0)
+            for connection in list(ports.connections):
+                connection.transport.abort()
+
+        stopping, received = asyncio.ensure_future(stop()), 0
+        with contextlib.suppress(ConnectionError):
+            while received < SHORT:
+                data = await loop.sock_recv(sock, 4096)
+                if not data:
+                    break
+                received += len(data)
+                await loop.sock_sendall(sock, encode_frame(linking.Ping(0)))
+                await asyncio.sleep(0.02)
+        assert received >= SHORT
+    await stopping
