--- a/test/test_slowcallers.py
+++ b/test/test_slowcallers.py
@@ -1,5 +1,6 @@
 """Callers that read slowly but steadily, at both kinds of node."""
 
+import asyncio
 import contextlib
 
 import pytest
@@ -48,8 +49,8 @@
         await reply.eof()
 
     app.add_route(handle, '/')
-    async with listeners.Listener(app, plain.HOST, port):
-        yield
+    async with listeners.Listener(app, plain.HOST, port) as listener:
+        yield listener
 
 
 # Guards against a limit of the system that resets connections of callers which
@@ -63,3 +64,24 @@
             SLOWNESS,
         )
     assert (answer.status, answer.missing) == (200, 0)
+
+
+async def test_stop_of_a_plain_node_waits_for_a_slow_caller(unused_tcp_port):
+    """Guards against a stop that cuts an answer which is read slowly.
+
+    The caller begins its next request while it reads.
+    """
+    further = plain.request('/').encode()
+    async with open_plain(unused_tcp_port) as listener:
+        calling = asyncio.ensure_future(
+            slowcallers.call_slowly(
+                (plain.HOST, unused_tcp_port),
+                plain.request('/').encode(),
+                slowcallers.Slowness(rate=300_000, further=further, piece=5),
+            )
+        )
+        await asyncio.sleep(0.1)
+        aborted = await listener.shut_down(5.0)
+        answers = await calling
+    assert aborted == 0
+    assert answers[0].missing == 0
