A new process breaks off no request by a default run time

Callers got 502 while the server of their request was at work, 0.5 s after it began.

Cause: a request that may be repeated is given up after 8 times its expected time if later ones are answered. A process that has just started has measured nothing and expected its default, so the floor of 0.5 s decided. The server takes 0.18 s on the average and had just got its keys again.

Evidence: side-dk-east-c-2 started at 25.88 s, sent both requests at 25.98 s and logged at 26.48 s "no answer within 0.50 s, others got theirs".

Change: the check compares with the time that has been measured by then; without one the request waits until its deadline. The same holds for the sign that a target drops requests.

The fake scheduler of test_hosting got the new method.

--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -406,8 +406,10 @@
         return _refuse_as_lost(ports, head, str(error))
     except TimeoutError:
         waited_s = ports.clock() - started
+        run_s = ports.scheduler.find_measured_time(head.route)
         report.is_dropped = report.is_stuck = (
-            waited_s >= concurrencylimit.find_late_s(report.expected_s)
+            waited_s
+            >= concurrencylimit.find_late_s(max(run_s, report.expected_s))
             and ports.answered_start > started
         )
         _count_miss(ports)
@@ -451,7 +453,7 @@
     """Return a context that ends ``limit`` early if the target drops it."""
     if give_up >= head.deadline:
         return NOT_WATCHED
-    watch = DropWatch(ports, limit, started)
+    watch = DropWatch(ports, limit, started, head)
     watch.schedule(give_up - started)
     return watch
 
@@ -462,13 +464,15 @@
 class DropWatch:
     """Ends a timeout once a late request counts as dropped.
 
-    That is when the target has answered a request that was sent later.
+    That is when the target has answered a request that was sent later, and
+    this one takes many times the time that was measured by then.
     """
 
-    def __init__(self, ports, limit: asyncio.Timeout, started: float):
+    def __init__(self, ports, limit: asyncio.Timeout, started: float, head):
         self._ports = ports
         self._limit = limit
         self._started = started
+        self._head = head
         self._timer = None
 
     def __enter__(self):
@@ -487,11 +491,22 @@
         if self._limit.expired():
             # At the deadline both timers may be due in one pass of the loop.
             return
-        if self._ports.answered_start > self._started:
+        if self._is_dropped():
             self._limit.reschedule(asyncio.get_running_loop().time())
         else:
             self.schedule(concurrencylimit.RECHECK_S)
 
+    def _is_dropped(self) -> bool:
+        ports, head = self._ports, self._head
+        if ports.answered_start <= self._started:
+            return False
+        # When the request was sent, a new process had measured nothing.
+        give_up = concurrencylimit.find_give_up_time(
+            ports.scheduler.find_measured_time(head.route),
+            *(self._started, head.deadline, head.repeatable),
+        )
+        return give_up <= ports.clock() < head.deadline
+
 
 def _count_miss(ports) -> None:
     ports.misses += 1
--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -152,6 +152,10 @@
         """Return the service time of a request of a route expected now."""
         return self._scale(self._times.get(route, self._mean))
 
+    def find_measured(self, route: str) -> float:
+        """Return the time expected of a route, inf before its first answer."""
+        return self.expect(route) if route in self._times else math.inf
+
     @property
     def mean(self) -> float:
         """Return the average over all routes, as expected now."""
--- a/sesamejunction/tasks/scheduler.py
+++ b/sesamejunction/tasks/scheduler.py
@@ -242,6 +242,10 @@
             *(self._leave_grace_s, self._zone_grace_s),
         )
 
+    def find_measured_time(self, route: str) -> float:
+        """Return the expected run time of a route, inf if none is measured."""
+        return self._times.find_measured(route)
+
     @property
     def limit(self) -> int:
         """Return how many requests may be at the target at once."""
--- a/test/test_fulltargets.py
+++ b/test/test_fulltargets.py
@@ -107,6 +107,13 @@
         await asyncio.gather(*target.serving)
 
 
+async def send_one(ports, name):
+    """Send a repeatable request and return its reply."""
+    head = rawservers.make_head(name, left_s=3.0, repeatable=True)
+    head = dataclasses.replace(head, request_id=name)
+    return await hosting.host_request(ports, head, b'')
+
+
 async def send_in_turn(ports, number, repeatable, left_s=1.5):
     """Send ``ROUNDS`` requests, each after the former one."""
     outcomes = collections.Counter()
@@ -183,6 +190,21 @@
         assert ports.scheduler.abandoned_count == given_up
 
 
+async def test_new_process_gives_up_by_measured_times(monkeypatch):
+    """Guards against requests that a new process breaks off at its target.
+
+    It had measured no run time and compared with a default. Here one request
+    takes 0.9 s and the next one 0.2 s.
+    """
+    async with run_node('refuses') as (ports, _):
+        monkeypatch.setattr(f'{__name__}.RUN_S', 0.9)
+        slow = asyncio.ensure_future(send_one(ports, 'slow'))
+        await asyncio.sleep(0.1)
+        monkeypatch.setattr(f'{__name__}.RUN_S', 0.2)
+        assert isinstance(await send_one(ports, 'other'), requests.Answer)
+        assert isinstance(await slow, requests.Answer)
+
+
 # Rows: signs and answers as (requests at the target, kind), least and most
 # limit with six slots. ``+`` are ten answers.
 LIMITS = {
--- a/test/test_hosting.py
+++ b/test/test_hosting.py
@@ -1,6 +1,7 @@
 """Requests at the local target and the outcomes reported for them."""
 
 import asyncio
+import math
 import time
 import types
 
@@ -39,6 +40,9 @@
     def estimate_min_time(self, _route):
         return 0.0
 
+    def find_measured_time(self, _route):
+        return math.inf
+
     def tell_reliably(self, message):
         self.given_back.append(message)
 
@@ -226,7 +230,7 @@
     ports = types.SimpleNamespace(answered_start=2.0)
     with pytest.raises(TimeoutError):
         async with asyncio.timeout(0.01) as limit:
-            with hosting.DropWatch(ports, limit, 1.0) as watch:
+            with hosting.DropWatch(ports, limit, 1.0, None) as watch:
                 watch.schedule(0.01)
                 # Both timers are due when the loop looks at them.
                 time.sleep(0.03)
