A planned stop breaks off no request at its target

While the node that took a request from its caller stops, a request at which the target works must not be replaced by an answer of the node.

Cause: DropWatch did not ask who had sent the request. With a measured time the same can happen with a slow target.

Change: a request carries the incarnation of the node that forwarded it (known from the connection, nothing new on the wire). While that node is registered as stopping, or this node stops and took the request itself, the request waits until its deadline.

What remains: a stop that the fleet has not heard of yet.

--- a/sesamejunction/border/linkcodec.py
+++ b/sesamejunction/border/linkcodec.py
@@ -72,9 +72,12 @@
 
 
 def decode_work(
-    frame: linking.Work | linking.WorkOffer, now: float
+    frame: linking.Work | linking.WorkOffer, now: float, requester: int = 0
 ) -> requests.Head:
-    """Return the head of a request, with times on this node's boot clock."""
+    """Return the head of a request, with times on this node's boot clock.
+
+    ``requester`` is the incarnation of the node that sent it.
+    """
     return requests.Head(
         request_id=frame.request_id,
         service=frame.service,
@@ -97,6 +100,7 @@
             if frame.standing
             else requests.Standing.NEW
         ),
+        requester=requester,
     )
 
 
--- a/sesamejunction/commands/hosting.py
+++ b/sesamejunction/commands/hosting.py
@@ -1,6 +1,7 @@
 """Runs a request at the local target of a hosted node."""
 
 import asyncio
+import collections.abc
 import contextlib
 import dataclasses
 import math
@@ -113,6 +114,7 @@
     ``holdings`` is a HoldingsView, ``lines`` a logger that limits the rate of
     its messages. ``clock`` returns boot-clock seconds. ``answers`` counts
     large answers on the line; it is None if the line's speed is unknown.
+    ``is_stopping`` returns whether this node stops as planned.
     """
 
     states: porting.StateView
@@ -127,6 +129,7 @@
     answered_start: float = 0.0
     open_runs: OpenRuns = dataclasses.field(default_factory=OpenRuns)
     answers: largeanswers.Ports | None = None
+    is_stopping: collections.abc.Callable = lambda: False
 
 
 async def host_request(
@@ -465,7 +468,9 @@
     """Ends a timeout once a late request counts as dropped.
 
     That is when the target has answered a request that was sent later, and
-    this one takes many times the time that was measured by then.
+    this one takes many times the time that was measured by then. A planned
+    stop of the node at which the request began breaks nothing off: the target
+    may be slow, and work on it.
     """
 
     def __init__(self, ports, limit: asyncio.Timeout, started: float, head):
@@ -491,7 +496,7 @@
         if self._limit.expired():
             # At the deadline both timers may be due in one pass of the loop.
             return
-        if self._is_dropped():
+        if self._is_dropped() and not self._is_requester_stopping():
             self._limit.reschedule(asyncio.get_running_loop().time())
         else:
             self.schedule(concurrencylimit.RECHECK_S)
@@ -507,6 +512,13 @@
         )
         return give_up <= ports.clock() < head.deadline
 
+    def _is_requester_stopping(self) -> bool:
+        if not self._head.requester:
+            return self._ports.is_stopping()
+        members = self._ports.states.current.members
+        requester = members.get(self._head.requester)
+        return requester is not None and requester.stopping
+
 
 def _count_miss(ports) -> None:
     ports.misses += 1
--- a/sesamejunction/model/requests.py
+++ b/sesamejunction/model/requests.py
@@ -66,7 +66,8 @@
     probability that the request exists only because of a retry: 1 for a
     further attempt, less for a call that a target may have made while it ran
     one. A call has the rank of the request that made it, and the earlier
-    objective and deadline of both.
+    objective and deadline of both. ``requester`` is the incarnation of the
+    node that forwarded the request, 0 for one that began at this node.
     """
 
     request_id: str
@@ -86,6 +87,7 @@
     caller_service: str = ''
     repeat_share: float = 0.0
     standing: Standing = Standing.NEW
+    requester: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -214,7 +214,9 @@
         task.add_done_callback(lambda _: self._running.pop(number, None))
 
     async def _run_work(self, frame) -> None:
-        head = linkcodec.decode_work(frame, clock.read_boot_clock())
+        head = linkcodec.decode_work(
+            frame, clock.read_boot_clock(), self.sender
+        )
         try:
             reply = await self._ports.host_request(head, frame.body)
         except errors.CancelledBeforeStart:
@@ -291,7 +293,9 @@
         self._start_task(frame.id, self._run_offered_work(frame), True)
 
     async def _run_offered_work(self, frame) -> None:
-        head = linkcodec.decode_work(frame, clock.read_boot_clock())
+        head = linkcodec.decode_work(
+            frame, clock.read_boot_clock(), self.sender
+        )
 
         def request_part(turn, part):
             self.send_frame(
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -364,6 +364,7 @@
             clock.read_boot_clock,
             open_runs=hosting.OpenRuns(serverclient.find_request_id),
             answers=self._answers,
+            is_stopping=lambda: self._stopping,
         )
 
         async def host_request(head, body):
--- a/test/test_fulltargets.py
+++ b/test/test_fulltargets.py
@@ -18,9 +18,11 @@
 from sesamejunction.model import leasing
 from sesamejunction.model import ranges
 from sesamejunction.model import requests
+from sesamejunction.model import state
 from sesamejunction.platform import serverclient
 from sesamejunction.tasks import scheduler
 from test import rawservers
+from test import requestfakes
 from test import test_scheduler as scheduling_tests
 
 SLOTS = 6
@@ -205,6 +207,39 @@
         assert isinstance(await slow, requests.Answer)
 
 
+# Guards against a request that is broken off at its target because the node
+# of its caller stops: the target was slow, and at work on it. Columns: the
+# node that forwarded the request, 0 if it began here; whether this node and
+# node 2 stop; when the request ends.
+STOPS = {
+    'this node': (0, True, False, 1.2),
+    'the other node': (2, False, True, 1.2),
+    'this node, for another': (2, True, False, concurrencylimit.LATE_FLOOR_S),
+}
+
+
+@pytest.mark.parametrize('case', STOPS)
+async def test_planned_stop_breaks_nothing_off(case, monkeypatch):
+    requester, this_stops, other_stops, ends_s = STOPS[case]
+    monkeypatch.setattr(f'{__name__}.HOLDS', 0)
+    member = dataclasses.replace(requestfakes.MEMBERS[2], stopping=other_stops)
+    async with run_node('is silent') as (ports, _):
+        ports.states.current = state.State(members={2: member})
+        ports.is_stopping = lambda: this_stops
+        started = time.monotonic()
+        head = dataclasses.replace(
+            rawservers.make_head(left_s=1.2, repeatable=True),
+            requester=requester,
+        )
+        sending = asyncio.ensure_future(hosting.host_request(ports, head, b''))
+        await asyncio.sleep(0.1)
+        monkeypatch.setattr(f'{__name__}.HOLDS', 1)
+        assert isinstance(await send_one(ports, 'b'), requests.Answer)
+        await sending
+        taken_s = time.monotonic() - started
+        assert ends_s - 0.01 <= taken_s < ends_s + 0.4
+
+
 # Rows: signs and answers as (requests at the target, kind), least and most
 # limit with six slots. ``+`` are ten answers.
 LIMITS = {
