A late registration does not replace a newer one for good

Cause: registrations are appended without a condition. An append without an answer may be done behind a newer one, and a node wrote again only if its record was gone, unreadable or of another process. The plan then named servers that had ended.

Change: a node compares its member in the state with what it has registered. If they differ in a copy newer than its latest append, it registers again.

Why it works: only the node itself writes this record in its life, so a different one behind its latest append is always older. A copy that is older than the append is ignored, so a node that is ahead of its copy writes nothing.

The new tests need the new message, so they could not run before.

--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -297,6 +297,16 @@
     is_retry: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OtherRegistration:
+    """Tells that the topic has another registration of this process.
+
+    It is the newest one of its key up to ``end``.
+    """
+
+    end: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Propose:
     """Appends a record if the topic still ends at ``end``.
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -207,7 +207,9 @@
 
     A registration is retried until it is written, a proposal is not.
     ``follower`` is notified of appended proposals, and when an append fails.
-    The first copy of each era tells whether the registration is lost.
+    The first copy of each era tells whether the registration is lost. An
+    append without an answer may be done seconds later and replace a newer
+    registration, which is then written again.
     """
 
     name = 'registrar'
@@ -219,6 +221,7 @@
         self._follower = follower
         self._registration = None
         self._written = None
+        self._written_at = 0
         self._pause_s = MIN_RETRY_S
 
     async def handle(self, message):
@@ -234,6 +237,8 @@
             case registry.TopicChanged(copy=copy):
                 self._check_registration(copy)
                 await self._write_registration()
+            case registry.OtherRegistration(end=end):
+                await self._replace_other(end)
             case registry.Propose(record=record, end=end):
                 return await self._propose(record, end)
 
@@ -252,6 +257,19 @@
         if item is None or item.value != wanted:
             self._written = None
 
+    async def _replace_other(self, end) -> None:
+        """Write the registration again if another has followed it."""
+        if self._written is None or end <= self._written_at:
+            # The copy may be older than the latest append.
+            return
+        eliot.log_message(
+            'journal: registration replaced',
+            written_at=self._written_at,
+            end=end,
+        )
+        self._written = None
+        await self._write_registration()
+
     async def _write_registration(self) -> None:
         wanted = self._registration
         if wanted is None or wanted == self._written:
@@ -266,7 +284,7 @@
             self._pause_s = min(MAX_RETRY_S, 2 * self._pause_s)
             return
         self._pause_s = MIN_RETRY_S
-        self._written = wanted
+        self._written, self._written_at = wanted, offset
         eliot.log_message(
             'journal: registered',
             life=wanted.life,
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -8,6 +8,7 @@
 from sesamejunction.border import registrycodec
 from sesamejunction.commands import ports as porting
 from sesamejunction.decisions import rangeleases as deciding
+from sesamejunction.decisions import registry as folding
 from sesamejunction import errors
 from sesamejunction.model import journaling
 from sesamejunction.model import leasing
@@ -411,7 +412,8 @@
         """Register again if this node's record was removed or replaced.
 
         Other members remove a silent node; another writer may leave a record
-        that cannot be read.
+        that cannot be read; the store may do an earlier append of this
+        process late.
         """
         is_member = (
             self._identity.incarnation in current.members
@@ -423,6 +425,10 @@
             self._registrar.tell(
                 registry.Register(self._registered, is_retry=True)
             )
+        elif is_member and current.members[
+            self._identity.incarnation
+        ] != folding.build_member(self._registered):
+            self._registrar.tell(registry.OtherRegistration(current.offset))
         self._was_member = is_member
 
     def _load_predecessor(self, current) -> None:
--- a/test/test_appends.py
+++ b/test/test_appends.py
@@ -1,14 +1,17 @@
 """Failed appends are retried slowly and reported to the follower."""
 
 import asyncio
+import dataclasses
 import types
 
 import pytest
 
 from sesamejunction.border import eraview
 from sesamejunction.border import registrycodec
+from sesamejunction.decisions import registry as folding
 from sesamejunction import errors
 from sesamejunction.model import journaling
+from sesamejunction.model import leasing
 from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.model import state
@@ -20,6 +23,7 @@
 from sesamejunction.tasks import registrar
 from test import fakes
 from test import storemodel
+from test import test_misdirected
 
 SPAN_S = 10.0
 RECORD = registry.MemberRecord(
@@ -92,6 +96,41 @@
     assert (registry.AppendFailed() in messages) is tells
 
 
+# Guards against a late append that replaces a newer registration for good, and
+# against a repeat because a copy is older than the append. Rows: the end of
+# the copy with another registration, and the appends in all.
+@pytest.mark.parametrize(('end', 'appends'), [(5, 1), (6, 2)])
+async def test_replaced_registration_is_written_again(end, appends):
+    topic = Topic(None)
+    task = registrar.Registrar(topic, fakes.FakeTask())
+    async with fakes.run_actors(task):
+        await task.ask(registry.Register(RECORD))
+        await task.ask(registry.OtherRegistration(end))
+    assert topic.appends == appends
+
+
+# Guards against a server that the plan no longer knows: a late append put the
+# life of its former process back. Rows: the life in the newest copy, and
+# whether the registrar is told of it.
+@pytest.mark.parametrize(('born', 'is_told'), [(2, False), (1, True)])
+async def test_earlier_registration_is_noticed(born, is_told):
+    lease = test_misdirected.make_lease()
+    lease._registrar = registering = fakes.FakeTask()
+    life = ranges.Life('b', 't', 2)
+    await lease.handle(journaling.StateChanged(state.State(offset=1)))
+    await lease.handle(leasing.Heartbeat(life, 's', 'z', 8, 1, False, 0.0))
+    written = registering.messages[-1].record
+    assert written.life == life
+    found = dataclasses.replace(written, life=ranges.Life('b', 't', born))
+    members = {2: folding.build_member(found)}
+    del registering.messages[:]
+    await lease.handle(
+        journaling.StateChanged(state.State(offset=9, members=members))
+    )
+    told = [registry.OtherRegistration(9)] if is_told else []
+    assert registering.messages == told
+
+
 class Registrar:
     """Counts proposals and answers them."""
 
