A new process notices that a late write has replaced its registration

A server could stay out for good after a restart: the store did the last write of the former process late, behind the first registration of the new one and before the new one had read it.

Cause: a member that is missing in a copy counted as removed only if this process had been a member in an earlier copy. The registrar knows better: a copy newer than its latest append must have the registration.

Evidence: the new row 'former process' of test_earlier_registration_is_noticed failed before.

Change: the node tells the registrar of each copy without its registration, and the registrar alone decides whether the copy is newer than its append.

--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -288,20 +288,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Register:
-    """Asks the registrar to make a record the newest of its key.
-
-    ``is_retry`` is set if an earlier registration was dropped.
-    """
+    """Asks the registrar to make a record the newest of its key."""
 
     record: MemberRecord
-    is_retry: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class OtherRegistration:
-    """Tells that the topic has another registration of this process.
+class RegistrationLost:
+    """Tells that the topic lacks the registration of this process.
 
-    It is the newest one of its key up to ``end``.
+    Up to ``end`` the newest record of its key is another one, or none.
     """
 
     end: int
--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -227,18 +227,15 @@
     async def handle(self, message):
         """Handle one message."""
         match message:
-            case registry.Register(record=record, is_retry=must_rewrite):
+            case registry.Register(record=record):
                 self._registration = record
-                if must_rewrite:
-                    self._written = None
                 await self._write_registration()
-                if self._registration != self._written:
-                    self.tick_within(self._pause_s)
             case registry.TopicChanged(copy=copy):
                 self._check_registration(copy)
                 await self._write_registration()
-            case registry.OtherRegistration(end=end):
-                await self._replace_other(end)
+            case registry.RegistrationLost(end=end):
+                self._note_lost(end)
+                await self._write_registration()
             case registry.Propose(record=record, end=end):
                 return await self._propose(record, end)
 
@@ -257,18 +254,17 @@
         if item is None or item.value != wanted:
             self._written = None
 
-    async def _replace_other(self, end) -> None:
-        """Write the registration again if another has followed it."""
+    def _note_lost(self, end) -> None:
+        """Note that the registration was removed or replaced."""
         if self._written is None or end <= self._written_at:
             # The copy may be older than the latest append.
             return
         eliot.log_message(
-            'journal: registration replaced',
+            'journal: registration lost',
             written_at=self._written_at,
             end=end,
         )
         self._written = None
-        await self._write_registration()
 
     async def _write_registration(self) -> None:
         wanted = self._registration
@@ -282,6 +278,7 @@
             )
             self._follower.tell(registry.AppendFailed())
             self._pause_s = min(MAX_RETRY_S, 2 * self._pause_s)
+            self.tick_within(self._pause_s)
             return
         self._pause_s = MIN_RETRY_S
         self._written, self._written_at = wanted, offset
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -102,7 +102,6 @@
         self._had_heartbeat = False
         # Registration of the process that ran before this one.
         self._predecessor = None
-        self._was_member = False
         self.holdings = porting.HoldingsView()
         self.subscribers = ()
         self.target_status = None
@@ -409,27 +408,19 @@
             self._serve_claimants(now)
 
     def _note_membership(self, current) -> None:
-        """Register again if this node's record was removed or replaced.
+        """Tell the registrar if this node's record was removed or replaced.
 
         Other members remove a silent node; another writer may leave a record
         that cannot be read; the store may do an earlier append of this
-        process late.
+        process, or one of the process before it, late.
         """
-        is_member = (
-            self._identity.incarnation in current.members
-            and self._registered is not None
-            and registrycodec.build_record_key(self._registered)
-            not in current.unreadable
-        )
-        if self._was_member and not is_member:
-            self._registrar.tell(
-                registry.Register(self._registered, is_retry=True)
-            )
-        elif is_member and current.members[
-            self._identity.incarnation
-        ] != folding.build_member(self._registered):
-            self._registrar.tell(registry.OtherRegistration(current.offset))
-        self._was_member = is_member
+        if self._registered is None:
+            return
+        key = registrycodec.build_record_key(self._registered)
+        known = current.members.get(self._identity.incarnation)
+        wanted = folding.build_member(self._registered)
+        if key in current.unreadable or known != wanted:
+            self._registrar.tell(registry.RegistrationLost(current.offset))
 
     def _load_predecessor(self, current) -> None:
         """Register this process with its predecessor's view of the target."""
--- a/test/test_appends.py
+++ b/test/test_appends.py
@@ -105,15 +105,23 @@
     task = registrar.Registrar(topic, fakes.FakeTask())
     async with fakes.run_actors(task):
         await task.ask(registry.Register(RECORD))
-        await task.ask(registry.OtherRegistration(end))
+        await task.ask(registry.RegistrationLost(end))
     assert topic.appends == appends
 
 
 # Guards against a server that the plan no longer knows: a late append put the
-# life of its former process back. Rows: the life in the newest copy, and
+# life of its former process back, perhaps before this process had read its
+# own registration. Rows: the incarnation and the life in the newest copy, and
 # whether the registrar is told of it.
-@pytest.mark.parametrize(('born', 'is_told'), [(2, False), (1, True)])
-async def test_earlier_registration_is_noticed(born, is_told):
+@pytest.mark.parametrize(
+    ('incarnation', 'born', 'is_told'),
+    [
+        pytest.param(2, 2, False, id='same'),
+        pytest.param(2, 1, True, id='earlier'),
+        pytest.param(1, 1, True, id='former process'),
+    ],
+)
+async def test_earlier_registration_is_noticed(incarnation, born, is_told):
     lease = test_misdirected.make_lease()
     lease._registrar = registering = fakes.FakeTask()
     life = ranges.Life('b', 't', 2)
@@ -121,13 +129,17 @@
     await lease.handle(leasing.Heartbeat(life, 's', 'z', 8, 1, False, 0.0))
     written = registering.messages[-1].record
     assert written.life == life
-    found = dataclasses.replace(written, life=ranges.Life('b', 't', born))
-    members = {2: folding.build_member(found)}
+    found = dataclasses.replace(
+        written,
+        incarnation=incarnation,
+        life=ranges.Life('b', 't', born),
+    )
+    members = {incarnation: folding.build_member(found)}
     del registering.messages[:]
     await lease.handle(
         journaling.StateChanged(state.State(offset=9, members=members))
     )
-    told = [registry.OtherRegistration(9)] if is_told else []
+    told = [registry.RegistrationLost(9)] if is_told else []
     assert registering.messages == told
 
 
--- a/test/test_idle.py
+++ b/test/test_idle.py
@@ -166,7 +166,7 @@
         made.tell(registry.Register(RECORD))
         await asyncio.sleep(0.1)
         made._topic = Topic(True)
-        made.tell(registry.Register(RECORD, is_retry=True))
+        made.tell(registry.RegistrationLost(2))
         await asyncio.sleep(0.1)
         made._topic = Topic(False)
         assert made._written is None
