A target that reads an upload slowly keeps its connection

Callers got 'lost, outcome unknown' for uploads to a target that takes them steadily but slowly: 1 MiB at 150,000 bytes a second ended after 2.48 s, at 300,000 it was answered.

Cause: connections to targets set TCP_USER_TIMEOUT. The system then resets a connection whose window has been too small for 2 s, also while the target takes bytes.

Change: connections of hosted nodes to their targets, which run on the same machine, do not set it. A target that stops to read is given up at the deadline or by the rule for late requests, as one that does not answer.

--- a/sesamejunction/border/targetconnections.py
+++ b/sesamejunction/border/targetconnections.py
@@ -7,7 +7,6 @@
 
 import httptools
 
-from sesamejunction.border import httpclient
 from sesamejunction.border import responselimits
 from sesamejunction.border import streamends
 from sesamejunction import errors
@@ -143,11 +142,14 @@
         self.is_lost = False
 
     def connection_made(self, transport):
-        """Store the transport and watch the socket for unread bytes."""
+        """Store the transport and watch the socket for unread bytes.
+
+        The socket has no TCP_USER_TIMEOUT, which would reset the connection
+        to a target that reads an upload slowly; requests have deadlines.
+        """
         self.transport = transport
         sock = transport.get_extra_info('socket')
         if sock is not None:
-            httpclient.set_user_timeout(sock)
             self._unread_poll.register(
                 sock.fileno(), select.POLLIN | select.POLLRDHUP
             )
--- a/test/rawservers.py
+++ b/test/rawservers.py
@@ -83,6 +83,10 @@
         """Return the number of connections made so far."""
         return len(self._sockets)
 
+    def limit_receive_buffer(self, size) -> None:
+        """Set the receive buffer of the connections made from now on."""
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def read_head(self, sock) -> bytes:
         """Return the next request head; raises OSError when closed."""
         head = b''
--- a/test/test_targetconnections.py
+++ b/test/test_targetconnections.py
@@ -1,11 +1,13 @@
-"""Tests answers of faulty targets: late, extra, truncated, unreadable."""
+"""Tests targets that read slowly, or whose answers are faulty."""
 
 import asyncio
+import time
 
 import pytest
 
 from sesamejunction.border import targetconnections
 from sesamejunction import errors
+from test import rawservers
 
 OWN = b'HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 2\r\n\r\nok'
 OTHER = b'HTTP/1.1 200 OK\r\nid: b\r\nContent-Length: 3\r\n\r\nbad'
@@ -99,3 +101,35 @@
     connections = targetconnections.TargetConnectionPool('127.0.0.1', port)
     with pytest.raises(errors.TargetConnectionRefused):
         await connections.acquire(False)
+
+
+UPLOAD_BYTES = 1 << 19
+# The upload takes 3.5 s to read.
+READ_RATE = 150_000
+READ_BYTES = 1 << 12
+RECEIVE_BYTES = 1 << 15
+
+
+def read_slowly(server, sock, _number):
+    server.read_head(sock)
+    left = UPLOAD_BYTES
+    while left and (data := sock.recv(READ_BYTES)):
+        left -= len(data)
+        time.sleep(len(data) / READ_RATE)
+    server.send(sock, rawservers.encode_success(b'ok'))
+
+
+async def test_target_that_reads_slowly_gets_the_whole_upload():
+    """Guards against a limit of the system that resets such a connection.
+
+    It counted 2 s in which the target's window was too small.
+    """
+    with rawservers.RawServer(read_slowly) as server:
+        server.limit_receive_buffer(RECEIVE_BYTES)
+        head = rawservers.make_head(
+            method='POST', repeatable=False, left_s=rawservers.LIMIT_S
+        )
+        client = server.build_client()
+        async with asyncio.timeout(rawservers.LIMIT_S):
+            answer = await client.send(head, bytes(UPLOAD_BYTES))
+    assert answer.status == 200
