A registration that fails is not repeated by each new state

While the store refused a node's appends, the node appended its registration again at once for each state that it read without it, instead of after the growing pause. Many nodes that start together would so multiply their calls.

Cause: wrote in answer to each report of a lost registration, also while an earlier append waited for its repeat.

Evidence: test_failing_registration_is_not_repeated_by_each_state counted 12 appends, 2 before the ten reports.

Change: the report counts only if the registration was written before; a failed append is repeated by the tick alone.

--- a/sesamejunction/tasks/registrar.py
+++ b/sesamejunction/tasks/registrar.py
@@ -234,8 +234,7 @@
                 self._check_registration(copy)
                 await self._write_registration()
             case registry.RegistrationLost(end=end):
-                self._note_lost(end)
-                await self._write_registration()
+                await self._restore_registration(end)
             case registry.Propose(record=record, end=end):
                 return await self._propose(record, end)
 
@@ -254,10 +253,11 @@
         if item is None or item.value != wanted:
             self._written = None
 
-    def _note_lost(self, end) -> None:
-        """Note that the registration was removed or replaced."""
+    async def _restore_registration(self, end) -> None:
+        """Write the registration again if it was removed or replaced."""
         if self._written is None or end <= self._written_at:
-            # The copy may be older than the latest append.
+            # An append that has failed is repeated by a tick, and the copy
+            # may be older than the latest append.
             return
         eliot.log_message(
             'journal: registration lost',
@@ -265,6 +265,7 @@
             end=end,
         )
         self._written = None
+        await self._write_registration()
 
     async def _write_registration(self) -> None:
         wanted = self._registration
--- a/test/test_appends.py
+++ b/test/test_appends.py
@@ -109,6 +109,18 @@
     assert topic.appends == appends
 
 
+async def test_failing_registration_is_not_repeated_by_each_state():
+    """Guards against an append for each state while the store fails."""
+    topic = Topic(LOST)
+    task = registrar.Registrar(topic, fakes.FakeTask())
+    async with fakes.run_actors(task):
+        await task.ask(registry.Register(RECORD))
+        before = topic.appends
+        for end in range(9, 19):
+            await task.ask(registry.RegistrationLost(end))
+    assert topic.appends == before
+
+
 # Guards against a server that the plan no longer knows: a late append put the
 # life of its former process back, perhaps before this process had read its
 # own registration. Rows: the incarnation and the life in the newest copy, and
