--- a/sesamejunction/border/hostedmetrics.py
+++ b/sesamejunction/border/hostedmetrics.py
@@ -35,8 +35,12 @@
 
     def inc(self, labels: dict[str, str]) -> None:
         """Increment the counter by one."""
+        self.add(labels, 1)
+
+    def add(self, labels: dict[str, str], count: int) -> None:
+        """Increase the counter."""
         key = tuple(labels.items())
-        self._counts[key] = self._counts.get(key, 0) + 1
+        self._counts[key] = self._counts.get(key, 0) + count
 
     def flush(self) -> None:
         """Add the buffered counts to the collector."""
@@ -163,6 +167,12 @@
             'facts_restored_total',
             'Records written again after the store came back',
         )
+        self.task_ticks = self._add_counts(
+            'task_ticks_total', 'Periodic work of a task, by task'
+        )
+        self.task_messages = self._add_counts(
+            'task_messages_total', 'Messages that a task handled, by task'
+        )
         self._times = {
             name: self._add_times(name, help_text)
             for name, help_text in (
@@ -175,6 +185,10 @@
                 ('body_seconds', 'Time until a large body came, by outcome'),
                 ('start_slack_seconds', 'Time to the objective at the start'),
                 ('loop_late_seconds', 'Lateness of the event loop'),
+                (
+                    'task_longest_seconds',
+                    'Longest message or tick of a task in each second',
+                ),
                 (
                     'answer_line_seconds',
                     'Time of large answers until their last part may leave',
--- a/sesamejunction/tasks/actor.py
+++ b/sesamejunction/tasks/actor.py
@@ -4,10 +4,12 @@
 import collections
 import dataclasses
 import math
+import time
 import typing
 
 from sesamejunction import errors
 from sesamejunction.model import operating
+from sesamejunction.tasks import activity
 
 # Messages that an inbox holds; further ones are dropped or refused.
 INBOX_LIMIT = 1024
@@ -71,6 +73,7 @@
         self._stopped = False
         self._due = 0.0
         self._timer = None
+        self._activity = activity.Activity()
         self.dropped = 0
 
     def publish(self, message) -> None:
@@ -141,6 +144,11 @@
         """
         return None
 
+    def take_activity(self) -> activity.Activity:
+        """Return what the actor has done since the last call."""
+        taken, self._activity = self._activity, activity.Activity()
+        return taken
+
     async def run(self) -> None:
         """Handle messages until cancelled."""
         try:
@@ -185,16 +193,22 @@
                     await self._inbox.wait()
                 await self._dispatch(self._inbox.take())
                 if loop.time() >= self._due:
+                    started = time.perf_counter()
                     await self.tick()
+                    self._activity.add_tick(started)
                     self._set_timer(loop, loop.time() + self.tick_s)
         finally:
             self._timer.cancel()
 
     async def _dispatch(self, envelope: Envelope) -> None:
         while self._latest:
-            await self.handle(self._latest.pop(next(iter(self._latest))))
+            started = time.perf_counter()
+            newest = self._latest.pop(next(iter(self._latest)))
+            await self.handle(newest)
+            self._activity.add_message(newest, started)
         if envelope.message is None:
             return
+        started = time.perf_counter()
         try:
             if isinstance(envelope.message, operating.GetDump):
                 result = self._build_dump()
@@ -206,6 +220,8 @@
             if not envelope.reply.done():
                 envelope.reply.set_exception(error)
             return
+        finally:
+            self._activity.add_message(envelope.message, started)
         if envelope.reply is None:
             return
         if isinstance(result, asyncio.Future):
--- a/sesamejunction/ui/hosted.py
+++ b/sesamejunction/ui/hosted.py
@@ -7,6 +7,7 @@
     earlysignals.install()
 
 from sesamejunction.ui import loading  # isort: skip
+from sesamejunction.ui import startup  # isort: skip  # noqa: F401
 
 import os
 
--- a/sesamejunction/ui/hostednode.py
+++ b/sesamejunction/ui/hostednode.py
@@ -14,6 +14,7 @@
 from sesamejunction.platform import bounds
 from sesamejunction.ui import earlysignals
 from sesamejunction.ui import hostedwiring
+from sesamejunction.ui import startup
 
 # Callers poll readiness once a second, and leave a node after two polls that
 # find it not ready.
@@ -52,7 +53,11 @@
 
     async def run(self) -> None:
         """Serve until a planned stop."""
-        eliot.log_message('node: starting', name=self._settings.name)
+        eliot.log_message(
+            'node: starting',
+            name=self._settings.name,
+            **startup.describe(),
+        )
         group = await self._stack.enter_async_context(TaskGroup())
         self._components = hostedwiring.HostedComponents(
             self._settings, secrets.randbits(63), self._stack
@@ -67,7 +72,11 @@
             return
         build_task.result()
         await self._listen()
-        eliot.log_message('node: started', name=self._settings.name)
+        eliot.log_message(
+            'node: started',
+            name=self._settings.name,
+            **startup.describe(),
+        )
         await asyncio.wait(
             (stop_wait, group.failed), return_when=asyncio.FIRST_COMPLETED
         )
--- a/sesamejunction/ui/hostedwiring.py
+++ b/sesamejunction/ui/hostedwiring.py
@@ -99,7 +99,9 @@
         self._stack: contextlib.AsyncExitStack = stack
         self._stopping = False
         self._metrics = hostedmetrics.HostedMetrics()
-        self._usage = usage.ProcessUsage(usage.Traffic(), self._metrics)
+        self._usage = usage.ProcessUsage(
+            usage.Traffic(), self._metrics, self._list_tasks
+        )
         self._states = porting.StateView()
         machine_size = machines.decode_machine(
             node_settings.machine,
