--- a/sesamejunction/border/callerhttp.py
+++ b/sesamejunction/border/callerhttp.py
@@ -18,6 +18,7 @@
 from sesamejunction.commands import serving
 from sesamejunction import errors
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 from sesamejunction.queries import routes
 
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE')
@@ -35,7 +36,7 @@
 refuse = porting.refuse
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class CallerContext:
     """What the request handlers need from the current incarnation."""
 
--- a/sesamejunction/border/callermessages.py
+++ b/sesamejunction/border/callermessages.py
@@ -8,6 +8,7 @@
 import multidict
 
 from sesamejunction import errors
+from sesamejunction.model import valueclass
 
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Statuses that a caller may get; interim answers are not passed on.
@@ -16,7 +17,7 @@
 PHRASES = {status.value: status.phrase for status in http.HTTPStatus}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class CallerReply:
     """An answer to a caller; lengths and connection fields are added.
 
--- a/sesamejunction/border/declarationedit.py
+++ b/sesamejunction/border/declarationedit.py
@@ -1,6 +1,5 @@
 """Edits one value of a declaration file and leaves the rest unchanged."""
 
-import dataclasses
 import os
 import pathlib
 
@@ -9,9 +8,10 @@
 from sesamejunction.border import declarations
 from sesamejunction import errors
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Edit:
     """Validated new text of a declaration file, not written yet."""
 
--- a/sesamejunction/border/httpclient.py
+++ b/sesamejunction/border/httpclient.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import dataclasses
 import socket
 
 import aiohttp
@@ -14,6 +13,7 @@
 from sesamejunction import errors
 from sesamejunction.model import requests
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 
 # Limit for one address; a target accepts about 120 connections.
 MAX_CONNECTIONS = 120
@@ -82,7 +82,7 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Reply:
     """A reply as received; closing ``resources`` releases its connection."""
 
--- a/sesamejunction/border/loghttp.py
+++ b/sesamejunction/border/loghttp.py
@@ -1,11 +1,10 @@
 """Client of the platform's append-only log service over HTTP."""
 
-import dataclasses
-
 import aiohttp
 import pydantic
 
 from sesamejunction import errors
+from sesamejunction.model import valueclass
 
 APPEND_TIMEOUT_S = 3.0
 # Time for the reply to a read, in addition to the requested wait.
@@ -33,7 +32,7 @@
     offset: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LogRecord:
     """A record's bytes and its offset."""
 
@@ -41,7 +40,7 @@
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LogPage:
     """Records read, with the oldest retained and the next unused offset."""
 
--- a/sesamejunction/border/operatorhttp.py
+++ b/sesamejunction/border/operatorhttp.py
@@ -1,7 +1,6 @@
 """HTTP server for operators, metrics and the target's announcements."""
 
 import collections.abc
-import dataclasses
 import hashlib
 import hmac
 import typing
@@ -15,6 +14,7 @@
 from sesamejunction.model import gating
 from sesamejunction.model import measuring
 from sesamejunction.model import operating
+from sesamejunction.model import valueclass
 
 
 class Announcement(pydantic.BaseModel):
@@ -55,7 +55,7 @@
         """Return the metrics in their text format."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OperatorContext:
     """What the request handlers need.
 
--- a/sesamejunction/border/peertags.py
+++ b/sesamejunction/border/peertags.py
@@ -1,11 +1,11 @@
 """Tags that authenticate calls and replies between members."""
 
 import collections.abc
-import dataclasses
 import hashlib
 import hmac
 
 from sesamejunction import errors
+from sesamejunction.model import valueclass
 
 TAG_BYTES = 16
 # Larger than the difference between two wall clocks, and short enough that a
@@ -17,7 +17,7 @@
 TAG = 'sj-tag'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Credentials:
     """The fleet secret, this node's incarnation and its wall clock."""
 
--- a/sesamejunction/border/recordcodec.py
+++ b/sesamejunction/border/recordcodec.py
@@ -1,7 +1,6 @@
 """Encodes and decodes log records and complete states as MessagePack."""
 
 import collections.abc
-import dataclasses
 import typing
 import zlib
 
@@ -10,6 +9,7 @@
 from sesamejunction import errors
 from sesamejunction.model import records
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 RECORD_TYPES = {
     record_type.__name__: record_type
@@ -25,7 +25,7 @@
     body: msgspec.Raw
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Entry:
     """One record at a log offset.
 
--- a/sesamejunction/border/requestparsing.py
+++ b/sesamejunction/border/requestparsing.py
@@ -1,7 +1,6 @@
 """Parses and validates requests of callers and peers."""
 
 import asyncio
-import dataclasses
 import hashlib
 import posixpath
 import typing
@@ -18,6 +17,7 @@
 from sesamejunction.model import requests
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 from sesamejunction.queries import routes
 
 MAX_DEADLINE_MS = 3_600_000
@@ -131,7 +131,7 @@
     return service, target_path
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ParsedRequest:
     """A sanic request with its validated fields, service and path."""
 
--- a/sesamejunction/commands/bodies.py
+++ b/sesamejunction/commands/bodies.py
@@ -9,6 +9,7 @@
 from sesamejunction import errors
 from sesamejunction.model import incomingbodies
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 
 refuse = porting.refuse
 
@@ -24,7 +25,7 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OfferingNode:
     """The node that holds a body.
 
--- a/sesamejunction/commands/membership.py
+++ b/sesamejunction/commands/membership.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import typing
 
 from sesamejunction.decisions import witnessplanning
@@ -11,6 +10,7 @@
 from sesamejunction.model import owning
 from sesamejunction.model import records
 from sesamejunction.model import sharing
+from sesamejunction.model import valueclass
 
 RECORD_LEAVE_TIMEOUT_S = 1.0
 HELD_POLL_INTERVAL_S = 0.05
@@ -28,7 +28,7 @@
         """Queue a message that has no reply."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ports:
     """Dependencies; ``clock`` returns seconds."""
 
@@ -40,7 +40,7 @@
     sleep: collections.abc.Callable[[float], collections.abc.Awaitable]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LeaveResult:
     """Whether the log recorded the leave, and the number of held slots."""
 
--- a/sesamejunction/commands/ports.py
+++ b/sesamejunction/commands/ports.py
@@ -10,6 +10,7 @@
 from sesamejunction.model import owning
 from sesamejunction.model import requests
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 # Upper bound of the duration of a planned key move.
 PLANNED_MOVE_S = 0.6
@@ -164,7 +165,7 @@
         """Count a request; ``now`` is boot-clock seconds."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ports:
     """Tasks and transports; ``clock`` returns boot-clock seconds.
 
--- a/sesamejunction/commands/replays.py
+++ b/sesamejunction/commands/replays.py
@@ -3,10 +3,10 @@
 import asyncio
 import collections
 import collections.abc
-import dataclasses
 import typing
 
 from sesamejunction.model import replaying
+from sesamejunction.model import valueclass
 
 REPORT_INTERVAL_S = 1.0
 CallOutcome = replaying.CallOutcome
@@ -24,7 +24,7 @@
         """Send a call to a node's address and return the reply."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ports:
     """Dependencies; ``clock`` is monotonic, in seconds."""
 
--- a/sesamejunction/commands/requestattempts.py
+++ b/sesamejunction/commands/requestattempts.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 
 from sesamejunction.commands import ports as porting
 from sesamejunction.commands import serving
@@ -10,11 +9,12 @@
 from sesamejunction import errors
 from sesamejunction.model import choosing
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 
 refuse = porting.refuse
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AttemptResult:
     """Result of one attempt.
 
@@ -27,14 +27,14 @@
     reply: requests.Answer | requests.Refusal | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AttemptTaskEnded:
     """Inbox message: the asyncio task of an attempt has ended."""
 
     number: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ConnectionSilent:
     """Inbox message: nothing is received on the connection of an attempt."""
 
--- a/sesamejunction/commands/tickets.py
+++ b/sesamejunction/commands/tickets.py
@@ -13,6 +13,7 @@
 from sesamejunction.model import records
 from sesamejunction.model import state
 from sesamejunction.model import ticketing
+from sesamejunction.model import valueclass
 from sesamejunction.queries import status as queries
 
 MAX_APPEND_ATTEMPTS = 3
@@ -33,7 +34,7 @@
         """Decode the state of a checkpoint; raises CodecError."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ports:
     """Dependencies; ``clock`` returns seconds."""
 
--- a/sesamejunction/decisions/admission.py
+++ b/sesamejunction/decisions/admission.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from sesamejunction.model import valueclass
+
 # Weights of a new latency in the short-term average and in the baseline, both
 # exponentially weighted moving averages.
 SHORT_AVERAGE_WEIGHT = 0.1
@@ -20,7 +22,7 @@
 MIN_RETRY_DELAY_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AdmissionState:
     """Limit, latency averages and refusals of a target.
 
--- a/sesamejunction/decisions/attempts.py
+++ b/sesamejunction/decisions/attempts.py
@@ -1,9 +1,9 @@
 """State machine of one request over all its attempts."""
 
-import dataclasses
 import enum
 
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 
 
 class Phase(enum.Enum):
@@ -34,7 +34,7 @@
     ABORT = 'abort'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Rejected:
     """The request is refused before its first attempt.
 
@@ -42,42 +42,42 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Admitted:
     """The request has passed the checks of caller key, rate and lease."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Found:
     """A candidate for the next attempt was chosen."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NotFound:
     """No candidate was available before the deadline."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class FirstByte:
     """The first byte of an attempt may have been sent."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NotConnected:
     """An attempt failed before its first byte could be sent."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Declined:
     """A node or target did not run the request; another candidate may."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class DeclinedForAll:
     """A node or target did not run the request; all others would refuse it."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Lost:
     """An attempt has no usable answer; it may have run.
 
@@ -86,12 +86,12 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Late:
     """No answer arrived before a hedged attempt became due."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Silent:
     """Nothing is received on the connection of an open attempt.
 
@@ -99,17 +99,17 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Completed:
     """The head of the answer with the attempt's own id was received."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class CallerLeft:
     """The caller closed its connection."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class StreamCut:
     """The answer was cut before its end."""
 
@@ -145,7 +145,7 @@
     return Declined() if refusal.code in codes else DeclinedForAll()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GuardInputs:
     """Conditions that the guards of the transitions depend on.
 
@@ -193,7 +193,7 @@
             return inputs.may_have_run
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Transition:
     """Next phase and action if the guard is satisfied.
 
--- a/sesamejunction/decisions/calleehealth.py
+++ b/sesamejunction/decisions/calleehealth.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+from sesamejunction.model import valueclass
+
 # Weight of one outcome in the answered share of a service. It grows with the
 # time since the last outcome, by AVERAGE_S, so the share covers about the last
 # second. The upper limit is reached by at least three failures in a row before
@@ -74,7 +76,7 @@
         return [name for name, count in self.calls.items() if count >= least]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NoRoom:
     """A needed service whose calls fail, and their answered share."""
 
--- a/sesamejunction/decisions/checkpoints.py
+++ b/sesamejunction/decisions/checkpoints.py
@@ -3,11 +3,11 @@
 Also finds gaps between the applied state and the records kept by the log.
 """
 
-import dataclasses
 import enum
 
 from sesamejunction.model import records
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 PART_BYTES = 256 << 10
 # A checkpoint is due after this many records since the latest one.
@@ -35,7 +35,7 @@
     LOG_BEHIND = 'log-behind'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Complete:
     """A reassembled checkpoint."""
 
--- a/sesamejunction/decisions/clientbudget.py
+++ b/sesamejunction/decisions/clientbudget.py
@@ -8,6 +8,8 @@
 import enum
 import itertools
 
+from sesamejunction.model import valueclass
+
 MEBIBYTE = 1 << 20
 # A node at rest takes about 45 MB; its requests at the target and on other
 # nodes take the rest.
@@ -56,7 +58,7 @@
 ALL_PARTS = 16
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Limits:
     """Limits of one process; ``connections`` holds a number for each kind."""
 
--- a/sesamejunction/decisions/coldstart.py
+++ b/sesamejunction/decisions/coldstart.py
@@ -1,7 +1,8 @@
 """Limit of the requests that a cold target gets."""
 
 import collections
-import dataclasses
+
+from sesamejunction.model import valueclass
 
 # A cold target gets a limited number of requests in each such window.
 COLD_WINDOW_S = 1.0
@@ -70,7 +71,7 @@
         return (1.0 - self._credit) / rate
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SendRate:
     """How fast requests may be sent to a target.
 
@@ -89,7 +90,7 @@
 UNLIMITED = SendRate(0.0, 0.0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Began:
     """A target is limited from now on, or its limit has changed.
 
@@ -101,7 +102,7 @@
     sent_before: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ended:
     """A target is no longer limited.
 
--- a/sesamejunction/decisions/eras.py
+++ b/sesamejunction/decisions/eras.py
@@ -6,12 +6,12 @@
 """
 
 import collections.abc
-import dataclasses
 import enum
 
 from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 # Keys are granted after a wait for a silent former owner only if the copy of
 # the plan was confirmed this long after it was read. A plan that this process
@@ -45,7 +45,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Floor:
     """The newest facts of earlier eras that some nodes know.
 
@@ -57,7 +57,7 @@
     as_of: float = float('-inf')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Outlook:
     """What the planner knows of the change of era; boot-clock seconds.
 
@@ -135,7 +135,7 @@
     return as_of >= seen_at + CONFIRMED_S
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PlaceRight:
     """The right to grant the tokens of an allocators' place by an epoch."""
 
--- a/sesamejunction/decisions/expectedfinish.py
+++ b/sesamejunction/decisions/expectedfinish.py
@@ -7,6 +7,8 @@
 import dataclasses
 import math
 
+from sesamejunction.model import valueclass
+
 # A target of another availability zone is used only if it answers this much
 # earlier, in seconds, as bytes between zones cost money. It is about the
 # shortest usual run time, so a short queue does not make requests leave.
@@ -21,7 +23,7 @@
 DRAWN = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Estimate:
     """Expected wait and run time in seconds of one route at a target.
 
--- a/sesamejunction/decisions/fairness.py
+++ b/sesamejunction/decisions/fairness.py
@@ -1,14 +1,15 @@
 """Start-time fair queueing between organisations, by weight."""
 
 import collections
-import dataclasses
 import typing
 
+from sesamejunction.model import valueclass
+
 # Lower weights count as this one, so that no request costs infinite time.
 MIN_WEIGHT = 0.001
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class QueuedRequest:
     """A queued request; ``start`` and ``finish`` are virtual-time tags.
 
--- a/sesamejunction/decisions/intake.py
+++ b/sesamejunction/decisions/intake.py
@@ -4,6 +4,7 @@
 import enum
 
 from sesamejunction.model import incomingbodies
+from sesamejunction.model import valueclass
 
 # With one body at a time, the line is idle between a part and the request for
 # the next one. With more than two, each only takes longer.
@@ -38,7 +39,7 @@
 MAX_ABANDONED = 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Late:
     """A body that cannot arrive in time, and the reason.
 
--- a/sesamejunction/decisions/isolation.py
+++ b/sesamejunction/decisions/isolation.py
@@ -1,12 +1,12 @@
 """Decides whether a node without contact to the log accepts new requests."""
 
-import dataclasses
 import math
 
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Contact:
     """A node's contact with the log; ages are in seconds.
 
@@ -24,12 +24,12 @@
     offline_limit_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Serves:
     """New requests are accepted."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Refuses:
     """New requests are refused as "not run", for this reason."""
 
--- a/sesamejunction/decisions/linebudget.py
+++ b/sesamejunction/decisions/linebudget.py
@@ -6,6 +6,7 @@
 
 from sesamejunction.decisions import timers
 from sesamejunction.model import outgoinganswers
+from sesamejunction.model import valueclass
 
 # Answers of at least this size are planned and sent in parts.
 LARGE_ANSWER_BYTES = 16 * 1024
@@ -42,7 +43,7 @@
     MEMORY = 'memory'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Unsendable:
     """An expected answer that is not accepted.
 
--- a/sesamejunction/decisions/loadbalancing.py
+++ b/sesamejunction/decisions/loadbalancing.py
@@ -9,6 +9,7 @@
 from sesamejunction.model import choosing
 from sesamejunction.model import requests
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 
 # Added to the score of a target in another availability zone.
 CROSS_ZONE_COST_S = 0.0005
@@ -23,7 +24,7 @@
 DEFAULT_LATENCY_S = 0.001
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TargetStats:
     """This node's measurements of one target; times are boot-clock seconds.
 
--- a/sesamejunction/decisions/nodelease.py
+++ b/sesamejunction/decisions/nodelease.py
@@ -12,6 +12,7 @@
 from sesamejunction.model import messages
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 
 # Two of three: any two promises and any two declarations have a witness in
 # common.
@@ -32,7 +33,7 @@
 NEVER = -math.inf
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LeaseHolder:
     """State of a node's lease as the node itself knows it.
 
--- a/sesamejunction/decisions/ownership.py
+++ b/sesamejunction/decisions/ownership.py
@@ -13,6 +13,7 @@
 from sesamejunction.model import requests
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 
 # A busy slot that a claimant has asked for accepts no new requests for this
 # long. The claimant asks several times in this period. If it stops asking, the
@@ -20,7 +21,7 @@
 DRAIN_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NodeView:
     """What a node knows that concerns all slots.
 
@@ -37,7 +38,7 @@
     stopping: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Slot:
     """State of one slot at a node.
 
@@ -77,21 +78,21 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Owns:
     """The node owns the slot with this token."""
 
     token: requests.Token
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OwnsFrom:
     """The node will own the slot from ``ready_at`` on."""
 
     ready_at: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NeedsReleases:
     """The node claims the slot and needs releases from other members.
 
@@ -105,7 +106,7 @@
     token: requests.Token | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NotOwner:
     """Another member owns or claims the slot, or no member can."""
 
--- a/sesamejunction/decisions/pipelines.py
+++ b/sesamejunction/decisions/pipelines.py
@@ -7,8 +7,10 @@
 import dataclasses
 import enum
 
+from sesamejunction.model import valueclass
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@valueclass.define
 class Limits:
     """Limits of one connection.
 
@@ -45,7 +47,7 @@
     must_close: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Sendable:
     """The next answer to send.
 
--- a/sesamejunction/decisions/placement.py
+++ b/sesamejunction/decisions/placement.py
@@ -11,6 +11,7 @@
 from sesamejunction.decisions import successors
 from sesamejunction.model import records
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 # Fraction of its slots that a member may give away a minute for balance.
 BALANCE_FRACTION = 0.05
@@ -159,7 +160,7 @@
     return (high <= 1 and low >= -1) or high - low <= 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OwnerChange:
     """A slot's new owner; ``balance`` if the move only improves balance."""
 
--- a/sesamejunction/decisions/planning.py
+++ b/sesamejunction/decisions/planning.py
@@ -2,7 +2,6 @@
 
 import collections
 import collections.abc
-import dataclasses
 import operator
 
 from sesamejunction.decisions import placement
@@ -10,12 +9,13 @@
 from sesamejunction.decisions import witnessplanning
 from sesamejunction.model import records
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 # Entries in one record, about 150 KB; a log append and a batch can hold more.
 MAX_ENTRIES = 4_096
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PlannedRecords:
     """Records to append; ``deferred`` if moves for balance were left out."""
 
--- a/sesamejunction/decisions/rangeleases.py
+++ b/sesamejunction/decisions/rangeleases.py
@@ -11,6 +11,7 @@
 from sesamejunction.decisions import eras
 from sesamejunction.model import leasing
 from sesamejunction.model import ranges
+from sesamejunction.model import valueclass
 
 # Longest hold that is granted to a target: three heartbeats of 0.87 s may be
 # late.
@@ -42,7 +43,7 @@
 MAX_GRANT_ROWS = 80
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GrantedAnswer:
     """The latest grant: its heartbeat's sequence, its rows and its end."""
 
@@ -51,7 +52,7 @@
     end: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class FormerLife:
     """A life that was replaced, or whose target seemed to have ended.
 
@@ -66,7 +67,7 @@
     hold_end: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class FreedRange:
     """Keys that the target has released with a handover, and the time."""
 
--- a/sesamejunction/decisions/rangeplanning.py
+++ b/sesamejunction/decisions/rangeplanning.py
@@ -9,6 +9,7 @@
 
 from sesamejunction.model import ranges
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 # A plan with more ranges per owner is compacted; the answer to a heartbeat
 # holds about 80 rows.
@@ -62,7 +63,7 @@
         return self.rate / self.capacity
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Move:
     """Keys that are reassigned to another life."""
 
--- a/sesamejunction/decisions/retrybudget.py
+++ b/sesamejunction/decisions/retrybudget.py
@@ -20,6 +20,8 @@
 
 import dataclasses
 
+from sesamejunction.model import valueclass
+
 # Parts of the ratio that a request adds to the credit at once, and that the
 # credit may hold for the requests of the last window. The remainder covers
 # retries that are delayed in queues and reach their target in a later window.
@@ -33,7 +35,7 @@
 SLOTS = 10
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Limits:
     """Limit on the retries of each service over all nodes.
 
@@ -49,7 +51,7 @@
 DEFAULT_LIMITS = Limits()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RetryBudget:
     """Credit for retries, and the requests counted in the last window.
 
--- a/sesamejunction/decisions/scheduling.py
+++ b/sesamejunction/decisions/scheduling.py
@@ -1,13 +1,13 @@
 """Queue of the requests for one target, by rank, and expected waits."""
 
 import collections.abc
-import dataclasses
 import math
 import typing
 
 from sesamejunction.decisions import coldstart
 from sesamejunction.decisions import fairness
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 
 # Weight of a new service time in the moving average.
 AVERAGE_WEIGHT = 0.05
@@ -44,7 +44,7 @@
 MIN_REMAINING_FRACTION = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PendingRequest:
     """A request for the target; times are boot-clock seconds.
 
@@ -68,7 +68,7 @@
         return -self.standing.value, self.rank
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ahead:
     """Requests that start before another one, and their expected work."""
 
@@ -320,7 +320,7 @@
         return Ahead(ahead, ahead * self._times.mean)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Late:
     """A queued request that cannot start in time, and the reason."""
 
--- a/sesamejunction/decisions/shares.py
+++ b/sesamejunction/decisions/shares.py
@@ -5,10 +5,10 @@
 """
 
 import collections.abc
-import dataclasses
 
 from sesamejunction.decisions import hashing
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 # Fractions of rate and burst that are divided in advance between all nodes,
 # so that a node without contact to the allocator can still admit requests. The
@@ -19,7 +19,7 @@
 LOCAL_BURST_FRACTION = 0.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Quota:
     """A rate in tokens a second and a burst in tokens."""
 
--- a/sesamejunction/decisions/sources.py
+++ b/sesamejunction/decisions/sources.py
@@ -8,10 +8,10 @@
 
 import collections
 import collections.abc
-import dataclasses
 
 from sesamejunction.decisions import hashing
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 # Members of a zone that read a topic. In a large zone a second one halves the
 # number of nodes that wait for a replacement when one fails.
@@ -23,12 +23,12 @@
 FAN_OUT = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReadLog:
     """The node reads the topic from the log."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReadPeer:
     """The node gets the topic's changes from a member of its zone."""
 
--- a/sesamejunction/decisions/tokenallocator.py
+++ b/sesamejunction/decisions/tokenallocator.py
@@ -15,6 +15,7 @@
 from sesamejunction.model import messages
 from sesamejunction.model import requests
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 
 # Time in which all grants of former allocators expire.
 HOLD_BACK_S = timing.SHARE_GRANT_VALID_S + timing.SHARE_GRANT_MARGIN_S
@@ -38,7 +39,7 @@
 SMALL_GRANT_S = 0.4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Unmet:
     """Tokens that a holder requested and did not get."""
 
--- a/sesamejunction/decisions/witness.py
+++ b/sesamejunction/decisions/witness.py
@@ -10,6 +10,7 @@
 from sesamejunction.model import messages
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 
 DECLARATIONS_NEEDED = 2
 # Former witnesses that must have stopped promising before a new one may
@@ -22,7 +23,7 @@
 FIRST_GRACE_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Watch:
     """A witness's state for one holder and one version of its witness set.
 
@@ -149,7 +150,7 @@
     ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ledger:
     """Received evidence that members have ended; it is never withdrawn.
 
--- a/sesamejunction/model/choosing.py
+++ b/sesamejunction/model/choosing.py
@@ -1,12 +1,12 @@
 """Messages of the chooser task, which selects a member for each attempt."""
 
-import dataclasses
 import enum
 
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ChooseCandidate:
     """Requests a candidate; the reply is Chosen or NoCandidate.
 
@@ -21,7 +21,7 @@
     first: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Chosen:
     """The chosen candidate.
 
@@ -33,7 +33,7 @@
     hedge_delay_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AskExpectedWait:
     """Asks a node for the expected wait of one more request of a route.
 
@@ -44,7 +44,7 @@
     route: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ExpectedWait:
     """Expected wait and run time of one more request, in seconds.
 
@@ -57,7 +57,7 @@
     slots: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WaitsAnswered:
     """The questions of a choice have ended.
 
@@ -68,7 +68,7 @@
     answers: dict
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NoCandidate:
     """No candidate; ``is_permanent`` means that waiting cannot help."""
 
@@ -86,7 +86,7 @@
     UNREACHABLE = 'unreachable'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TakeRetry:
     """Takes one retry from the budget of a service; the reply is a bool."""
 
@@ -95,14 +95,14 @@
     reason: RetryReason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReturnRetry:
     """Returns a retry whose attempt has reached no target."""
 
     service: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AttemptEnded:
     """Reports the end of an attempt at a member.
 
--- a/sesamejunction/model/gating.py
+++ b/sesamejunction/model/gating.py
@@ -1,12 +1,12 @@
 """Messages of the gate and scheduler tasks, which admit work to the target."""
 
-import dataclasses
 import math
 
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Admit:
     """Requests a concurrency permit of the target.
 
@@ -17,7 +17,7 @@
     head: requests.Head
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Admitted:
     """A permit of the target, to be released with WorkFinished.
 
@@ -28,7 +28,7 @@
     expected_run_s: float = math.inf
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class CheckAdmission:
     """Checks whether the target would refuse a request now.
 
@@ -39,7 +39,7 @@
     head: requests.Head
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AdmissionEstimate:
     """Reply to CheckAdmission.
 
@@ -51,7 +51,7 @@
     expected_run_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PendingBodyCount:
     """Published number of large bodies that are queued or arriving.
 
@@ -61,7 +61,7 @@
     count: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WorkFinished:
     """Releases a permit, or removes the request from the queue.
 
@@ -81,17 +81,17 @@
     occupied_until: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GetLoad:
     """Requests the target's load; the reply is a requests.Load."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class StopAdmitting:
     """Starts a planned stop: new work is refused, admitted work finishes."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TargetAnnounced:
     """The local target announced itself to the node.
 
--- a/sesamejunction/model/hotkeys.py
+++ b/sesamejunction/model/hotkeys.py
@@ -1,9 +1,9 @@
 """Messages of the hot-key task, and the loads of keys that it evaluates."""
 
-import dataclasses
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class KeyCount:
     """Number of requests served for a key.
 
@@ -14,7 +14,7 @@
     count: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class KeysServed:
     """Reports the keys that this node served since the previous message.
 
@@ -27,7 +27,7 @@
     counts: tuple[KeyCount, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class KeyLoad:
     """Decayed counts of a service's keys at this node, in descending order.
 
--- a/sesamejunction/model/incomingbodies.py
+++ b/sesamejunction/model/incomingbodies.py
@@ -1,9 +1,9 @@
 """Messages of the intake task, which schedules large bodies from peers."""
 
-import dataclasses
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OfferedBody:
     """A body that another node offers to send.
 
@@ -23,7 +23,7 @@
     request_id: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PartRequest:
     """The part of a body to send next, in bytes."""
 
@@ -31,7 +31,7 @@
     size: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OfferBody:
     """Queues a body; the reply is a PartRequest or a Refusal.
 
@@ -41,7 +41,7 @@
     body: OfferedBody
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AwaitBodyPart:
     """Waits for the requested part of a body in transfer.
 
@@ -51,14 +51,14 @@
     number: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class CompleteBody:
     """A body that has arrived completely."""
 
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PartArrived:
     """A part sent by the node ``sender``; the reply is PartReceipt."""
 
@@ -67,14 +67,14 @@
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PartReceipt:
     """Reply to PartArrived; ``expected`` is false for an unrequested part."""
 
     expected: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WithdrawBody:
     """Ends the transfer of a body or removes it from the queue."""
 
--- a/sesamejunction/model/journaling.py
+++ b/sesamejunction/model/journaling.py
@@ -1,31 +1,30 @@
 """Messages of the journal and appender tasks."""
 
-import dataclasses
-
 from sesamejunction.model import records
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Append:
     """Appends a record to the log; the reply is its offset."""
 
     record: records.Record
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Propose:
     """Appends a record to the log without a reply."""
 
     record: records.Record
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GetState:
     """Requests the latest folded state; the reply is a State."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GetLogContactTime:
     """Requests the boot-clock time of the last contact with the log.
 
@@ -33,14 +32,14 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class StateChanged:
     """Published to other tasks when new records have changed the state."""
 
     state: state.State
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GetRecords:
     """Requests recent records from an offset on; the reply is Records."""
 
@@ -48,7 +47,7 @@
     limit: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Records:
     """Encoded records in order; empty if the node does not keep the offset.
 
@@ -59,12 +58,12 @@
     data: tuple[bytes, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GetSnapshot:
     """Requests the encoded state; the reply is a Snapshot."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Snapshot:
     """The encoded state after all records below the offset ``covers``."""
 
@@ -72,7 +71,7 @@
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PeerOffset:
     """Reports a peer's log offset and its last log contact.
 
@@ -84,7 +83,7 @@
     log_age: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OldestOffsetChanged:
     """Published when the oldest offset kept by the log has changed."""
 
--- a/sesamejunction/model/leasing.py
+++ b/sesamejunction/model/leasing.py
@@ -1,12 +1,12 @@
 """Messages of the task that leases key ranges to the local target."""
 
-import dataclasses
 import enum
 
 from sesamejunction.model import ranges
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class HeldKeys:
     """A key range that a target reports as held, with its fencing token."""
 
@@ -15,7 +15,7 @@
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Heartbeat:
     """A target's heartbeat; the reply is a Renewal.
 
@@ -36,7 +36,7 @@
     freed: tuple[ranges.ReleasedKeys, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GrantRow:
     """Keys granted under one token.
 
@@ -49,7 +49,7 @@
     handover: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Renewal:
     """All keys granted to the target, for ``hold_s`` from its heartbeat.
 
@@ -60,14 +60,14 @@
     hold_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TargetLeaving:
     """The target announced that it is about to end."""
 
     target: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TargetUnreachable:
     """A connection to the target failed.
 
@@ -77,14 +77,14 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class KeyNotHeld:
     """The target refused a request since it does not hold its key."""
 
     key: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AskRelease:
     """Asks the node of a former owner to release keys.
 
@@ -99,7 +99,7 @@
     life: ranges.Life
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReleaseResult:
     """Whether the keys are released, and their known handover data."""
 
@@ -107,7 +107,7 @@
     pieces: tuple[ranges.ReleasedKeys, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AskAllocatorStop:
     """Asks a former allocator to stop; the reply is a ReleaseResult.
 
@@ -118,12 +118,12 @@
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AskKeyLoad:
     """Requests the load of the target's keys; the reply is a KeyLoadReport."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class KeyLoadReport:
     """Load of a target's keys in requests per second.
 
@@ -143,7 +143,7 @@
     UNREACHABLE = 'failed connection'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TargetStatus:
     """State of the local target, published to limit the work it gets.
 
@@ -162,12 +162,12 @@
     cold_told_at: float = float('-inf')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class StopNode:
     """Starts a planned stop of the node; its target keeps running."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReleaseAnswered:
     """An AskRelease was answered, or has failed if ``reply`` is None."""
 
--- a/sesamejunction/model/measuring.py
+++ b/sesamejunction/model/measuring.py
@@ -1,8 +1,7 @@
 """Messages of the meter task."""
 
-import dataclasses
-
 from sesamejunction.model import operating
+from sesamejunction.model import valueclass
 
 
 # Upper bounds of the histogram buckets, in seconds. 0.012 is the latency
@@ -24,7 +23,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RequestTally:
     """Latency histogram of the requests with the same labels.
 
@@ -41,7 +40,7 @@
     sum_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RequestTallies:
     """Reports the requests completed since the previous message.
 
@@ -52,12 +51,12 @@
     tallies: tuple[RequestTally, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LeaseLost:
     """The node lost its lease while it was running."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MetricsSample:
     """Values collected from other tasks for one scrape."""
 
@@ -65,14 +64,14 @@
     tasks: tuple[operating.TaskDump, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GetMetrics:
     """Requests the metrics as text, including the sampled values."""
 
     sample: MetricsSample
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RenderedMetrics:
     """Metrics in the Prometheus text format."""
 
--- a/sesamejunction/model/messages.py
+++ b/sesamejunction/model/messages.py
@@ -1,9 +1,9 @@
 """Datagrams between nodes; times are in seconds of the sender's boot clock."""
 
-import dataclasses
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RenewLease:
     """Asks a witness to renew the sender's lease.
 
@@ -21,7 +21,7 @@
     released_by: tuple[int, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LeasePromise:
     """Grants the lease renewal that the holder sent at ``sent_at``.
 
@@ -36,7 +36,7 @@
     log_age: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class EndDeclaration:
     """A witness's declaration that an incarnation has ended.
 
@@ -49,7 +49,7 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class EndedQuery:
     """Asks a witness or member whether it knows that an incarnation ended."""
 
@@ -57,7 +57,7 @@
     incarnation: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WitnessRelease:
     """A witness's promise about an old witness set of ``holder``.
 
@@ -70,7 +70,7 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WitnessReleaseQuery:
     """Requests the WitnessRelease of a former witness for an old version."""
 
@@ -79,7 +79,7 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ShareWant:
     """The part of a ShareRequest for one organisation, in tokens.
 
@@ -94,7 +94,7 @@
     waiting: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ShareRequest:
     """Requests rate tokens from an allocator.
 
@@ -107,7 +107,7 @@
     wants: tuple[ShareWant, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ShareGrant:
     """Tokens granted for one organisation, valid for ``valid_s`` seconds.
 
@@ -121,7 +121,7 @@
     empty_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ShareReply:
     """Answers the ShareRequest with the same sequence number."""
 
@@ -131,7 +131,7 @@
     grants: tuple[ShareGrant, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TopicAge:
     """End offset of a member's copy of a topic, and its age in seconds."""
 
@@ -139,7 +139,7 @@
     age: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Probe:
     """Requests an Echo from a member; ``sent_at`` is returned in it.
 
@@ -152,7 +152,7 @@
     members: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PackedAges:
     """Times since the last contact with members.
 
@@ -165,7 +165,7 @@
     ages: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Echo:
     """Answers a Probe.
 
--- a/sesamejunction/model/once.py
+++ b/sesamejunction/model/once.py
@@ -1,8 +1,9 @@
 """Idempotency records and messages for requests that run at most once."""
 
-import dataclasses
 import enum
 
+from sesamejunction.model import valueclass
+
 
 class Progress(enum.Enum):
     """What the owner knows about the outcome of a once-only request."""
@@ -12,7 +13,7 @@
     UNKNOWN = 'unknown'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Identity:
     """Identity of a once-only request; repeats have the same one.
 
@@ -24,7 +25,7 @@
     idempotency_key: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class KeptAnswer:
     """A complete answer, kept for repeats."""
 
@@ -33,7 +34,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Record:
     """Idempotency record of one request.
 
@@ -50,7 +51,7 @@
     answer: KeptAnswer | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Begin:
     """Asks to run a once-only request.
 
@@ -66,19 +67,19 @@
     owned_since: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MayRun:
     """The request may be sent; RecordResult or Forget must follow."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AlreadyAnswered:
     """The request has already been answered with ``answer``."""
 
     answer: KeptAnswer
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RecordResult:
     """Records the result; ``answer`` is None if it cannot be kept.
 
@@ -91,7 +92,7 @@
     answer: KeptAnswer | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Forget:
     """Removes the record of a request that is known not to have run."""
 
@@ -99,7 +100,7 @@
     request_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Export:
     """Requests a slot's records for its next owner.
 
@@ -112,7 +113,7 @@
     known_since: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Entry:
     """One record of a Transfer."""
 
@@ -120,7 +121,7 @@
     record: Record
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Transfer:
     """Records of a slot, transferred with its release.
 
--- a/sesamejunction/model/operating.py
+++ b/sesamejunction/model/operating.py
@@ -1,11 +1,12 @@
 """Status and state dumps of a node for its operators."""
 
-import dataclasses
 import enum
 import typing
 
+from sesamejunction.model import valueclass
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@valueclass.define
 class NodeStatus:
     """Status of a node.
 
@@ -27,12 +28,12 @@
     log_age_s: float | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GetDump:
     """Requests the state of a task; the reply is a TaskDump."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TaskDump:
     """State of a task; ``detail`` is a data class that depends on the task.
 
@@ -47,7 +48,7 @@
     error: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Setting:
     """A setting as text, with secrets masked."""
 
@@ -55,7 +56,7 @@
     value: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NodeDump:
     """State dump of a node with all its tasks."""
 
@@ -64,7 +65,7 @@
     tasks: tuple[TaskDump, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SlotCount:
     """Number of slots of a service that a member owns.
 
@@ -77,7 +78,7 @@
     moving: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class JournalDump:
     """Summary of the folded state; keys are shown as digest prefixes."""
 
@@ -96,7 +97,7 @@
     fleet: typing.Any
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class IntakeDump:
     """Number of large bodies from other nodes that are queued or arriving."""
 
--- a/sesamejunction/model/outgoinganswers.py
+++ b/sesamejunction/model/outgoinganswers.py
@@ -1,9 +1,9 @@
 """Messages of the line task, which paces large answers that leave a node."""
 
-import dataclasses
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ExpectedAnswer:
     """An answer that leaves over the line of this machine.
 
@@ -20,7 +20,7 @@
     request_id: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PromiseAnswer:
     """Asks whether an expected answer can leave in time.
 
@@ -30,14 +30,14 @@
     answer: ExpectedAnswer
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AddAnswer:
     """Counts an answer that exists and is sent in any case."""
 
     answer: ExpectedAnswer
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SettleAnswer:
     """Replaces the expected size of an answer with its real one."""
 
@@ -45,14 +45,14 @@
     size: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReleaseAnswer:
     """Stops counting an answer, which has left or is not needed."""
 
     number: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class HoldAnswer:
     """Keeps the body of an answer until ``requester`` has taken its parts.
 
@@ -64,7 +64,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TakePart:
     """Asks for a part of a held answer, in bytes.
 
@@ -78,7 +78,7 @@
     size: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class DropAnswer:
     """A requester has a held answer completely, or does not need it."""
 
@@ -86,14 +86,14 @@
     requester: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RequesterLost:
     """All connections of a requester are closed."""
 
     requester: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AwaitGrant:
     """Asks to send ``size`` bytes; the reply is sent when they may leave.
 
@@ -106,7 +106,7 @@
     number: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LineDump:
     """Answers that are promised or held, their bytes, and queued parts."""
 
--- a/sesamejunction/model/owning.py
+++ b/sesamejunction/model/owning.py
@@ -1,12 +1,11 @@
 """Messages of the lease and slot ownership tasks."""
 
-import dataclasses
-
 from sesamejunction.model import once
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Lease:
     """The node's lease.
 
@@ -20,7 +19,7 @@
     reason: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class EnterSlot:
     """Asks to run a request in a slot; the reply is Serving or NotServing.
 
@@ -36,7 +35,7 @@
     key_hash: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LeaveSlot:
     """Reports that the request no longer runs in the slot.
 
@@ -49,7 +48,7 @@
     request_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Serving:
     """The node owns the slot and the request may run.
 
@@ -68,7 +67,7 @@
     former_ended_at: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NotServing:
     """The node does not serve the slot.
 
@@ -83,21 +82,21 @@
     ready_in_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MemberEnded:
     """Published when an incarnation has been proven to have ended."""
 
     incarnation: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MembersSilent:
     """Published set of members that no node has had recent contact with."""
 
     incarnations: frozenset[int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SlotRelease:
     """A member's promise not to serve the slot at this epoch or before.
 
@@ -114,7 +113,7 @@
     entries: tuple[once.Entry, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AskReleases:
     """Asks a member to release slots at the given epochs, if it can now."""
 
@@ -122,7 +121,7 @@
     wanted: tuple[SlotRelease, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Releases:
     """Slot releases of a member.
 
@@ -132,12 +131,12 @@
     given: tuple[SlotRelease, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class StopRenewing:
     """Makes the lease task stop renewing, so that the lease expires."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class StopOwning:
     """Starts a planned stop: slots are released as their requests finish.
 
@@ -146,7 +145,7 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class CountHeldSlots:
     """Requests the number of slots that the node still holds.
 
@@ -156,12 +155,12 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class EndIncarnation:
     """Requests a declaration of the node's own end, after a planned stop."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class HeldSlot:
     """A slot that a node serves; ``since`` is in boot-clock seconds."""
 
@@ -172,7 +171,7 @@
     running: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OwnersDump:
     """State of the owners task.
 
@@ -185,7 +184,7 @@
     unconfirmed: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ListHeldSlots:
     """Requests the slots that the node serves.
 
@@ -193,7 +192,7 @@
     """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TargetGrant:
     """Permission for the target to run requests until ``end``.
 
--- a/sesamejunction/model/packets.py
+++ b/sesamejunction/model/packets.py
@@ -1,11 +1,10 @@
 """Messages of the datagram task."""
 
-import dataclasses
-
 from sesamejunction.model import messages
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SendTo:
     """Sends a message to a member."""
 
@@ -13,7 +12,7 @@
     message: messages.Message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Received:
     """An authenticated message; ``at`` is its arrival on the boot clock."""
 
--- a/sesamejunction/model/ranges.py
+++ b/sesamejunction/model/ranges.py
@@ -4,6 +4,8 @@
 import dataclasses
 import functools
 
+from sesamejunction.model import valueclass
+
 # Keys are integers from 0 to LAST_KEY.
 LAST_KEY = 65535
 # Longer texts are no keys; int() takes a time that grows with their square.
@@ -34,7 +36,7 @@
     born: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Range:
     """Keys ``first`` to ``last`` of a service, owned by one target run.
 
@@ -73,7 +75,7 @@
         return self.ranges[index]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReleasedKeys:
     """Released keys with the handover data of their former holder."""
 
--- a/sesamejunction/model/records.py
+++ b/sesamejunction/model/records.py
@@ -1,11 +1,10 @@
 """Log records; each is a compare-and-set, so repeats have no effect."""
 
-import dataclasses
-
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MemberJoined:
     """A new incarnation, which has bound its host and peer port.
 
@@ -21,14 +20,14 @@
     read_offset: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MemberLeaving:
     """The incarnation accepts no new work and will stop."""
 
     incarnation: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MembersEnded:
     """The incarnations have ended and cannot return.
 
@@ -39,7 +38,7 @@
     incarnations: tuple[int, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WitnessEntry:
     """New witnesses of one member; accepted if the version is the next."""
 
@@ -48,14 +47,14 @@
     witnesses: tuple[int, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WitnessesNamed:
     """New witness sets of one or more members."""
 
     entries: tuple[WitnessEntry, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WitnessesSettled:
     """The witness set of this version is settled and replaces the previous."""
 
@@ -63,7 +62,7 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SlotEntry:
     """New order of a slot, accepted if settled at ``base_epoch``."""
 
@@ -72,7 +71,7 @@
     order: tuple[int, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SlotsArranged:
     """New orders for the listed slots.
 
@@ -85,7 +84,7 @@
     balance: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SettledEntry:
     """A slot and the epoch at which its owner serves it."""
 
@@ -93,7 +92,7 @@
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SlotsSettled:
     """The moves of the slots to these epochs are complete."""
 
@@ -101,7 +100,7 @@
     entries: tuple[SettledEntry, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class HotKeyPlaced:
     """A hot key moves from its fixed slot to a slot of its own.
 
@@ -117,7 +116,7 @@
     former_epoch: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class HotKeyRemoved:
     """A hot key returns to its fixed slot, which must have the same order."""
 
@@ -126,7 +125,7 @@
     epoch: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Removal:
     """An object that a ticket deletes; ``kind`` is its field in State."""
 
@@ -134,7 +133,7 @@
     name: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TicketApplied:
     """An operator's change, with the complete new state of each object.
 
@@ -154,7 +153,7 @@
     fleet: state.FleetSettings | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class CheckpointPart:
     """One part of a checkpoint, which covers the offsets below ``covers``."""
 
--- a/sesamejunction/model/registry.py
+++ b/sesamejunction/model/registry.py
@@ -6,6 +6,7 @@
 from sesamejunction.model import ranges
 from sesamejunction.model import routing
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 
 # The era that stores without eras are in. An era below it is not possible.
@@ -46,7 +47,7 @@
     return max(0, packed) >> OFFSET_BITS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MemberRecord:
     """Registration of a node and its local target.
 
@@ -67,7 +68,7 @@
     stopping: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PlanRecord:
     """Owners of the key ranges of one service."""
 
@@ -75,21 +76,21 @@
     ranges: tuple[ranges.Range, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SecretRecord:
     """The secret that authenticates messages between members."""
 
     secret: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MemberGone:
     """Removes the registration of a node that no longer runs."""
 
     name: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class EraRecord:
     """Tells that the facts of earlier eras are in the topic again.
 
@@ -112,7 +113,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class DeclaredConfig:
     """A complete version of the operator's configuration."""
 
@@ -124,7 +125,7 @@
     limits: routing.Limits
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TopicItem:
     """Newest value of a key, with the offset of its record."""
 
@@ -132,7 +133,7 @@
     value: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TopicCopy:
     """Copy of a keyed topic: the newest value of each key before ``end``."""
 
@@ -140,7 +141,7 @@
     items: collections.abc.Mapping[str, TopicItem]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Entry:
     """A record of a keyed topic; an empty value deletes the key."""
 
@@ -148,7 +149,7 @@
     value: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TopicBatch:
     """Records from the requested offset on, and the topic's end offset."""
 
@@ -156,7 +157,7 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TopicChanged:
     """Published by a follower when its copy has changed."""
 
@@ -164,7 +165,7 @@
     copy: TopicCopy
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PeerPosition:
     """Reports a peer's end offset, which was current at ``as_of`` or later."""
 
@@ -173,7 +174,7 @@
     as_of: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PeerAhead:
     """Reports that a member has a newer copy of a topic, up to ``end``."""
 
@@ -181,7 +182,7 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class EraChanged:
     """Reports that the store is in a later era than was known.
 
@@ -191,7 +192,7 @@
     era: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AskFloor:
     """Requests the newest facts of earlier eras that a node knows.
 
@@ -203,7 +204,7 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class FloorAnswer:
     """Answers AskFloor; ``age_s`` is that of the copy of earlier eras."""
 
@@ -212,12 +213,12 @@
     items: collections.abc.Mapping[str, TopicItem]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AppendFailed:
     """Reports that an append failed or had no valid reply."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TopicGrown:
     """Reports that there is a record at ``offset``.
 
@@ -227,7 +228,7 @@
     offset: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TakeCopy:
     """Gives a follower the copy of a peer, which was current at ``as_of``."""
 
@@ -235,7 +236,7 @@
     as_of: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class GetCopy:
     """Requests a follower's copy; the reply is a TopicCopy or None.
 
@@ -246,7 +247,7 @@
     end: int = -1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TopicNews:
     """What a copy lacks up to ``end``: later items and removed keys.
 
@@ -260,7 +261,7 @@
     removed: tuple[tuple[str, int], ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AskNews:
     """Requests the news of a topic for a copy that ends at ``end``.
 
@@ -272,7 +273,7 @@
     wait_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NewsAnswer:
     """Answers AskNews.
 
@@ -286,14 +287,14 @@
     as_of_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Register:
     """Asks the registrar to make a record the newest of its key."""
 
     record: MemberRecord
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RegistrationLost:
     """Tells that the topic lacks the registration of this process.
 
@@ -303,7 +304,7 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Propose:
     """Appends a record if the topic still ends at ``end``.
 
@@ -315,6 +316,6 @@
     end: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ProposalRejected:
     """The log will never take the record as it is."""
--- a/sesamejunction/model/replaying.py
+++ b/sesamejunction/model/replaying.py
@@ -1,10 +1,11 @@
 """Recorded traces, results of replayed calls, and measures of them."""
 
-import dataclasses
 import enum
 
+from sesamejunction.model import valueclass
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@valueclass.define
 class Call:
     """One recorded request; ``at_ms`` counts from the start of the trace.
 
@@ -41,7 +42,7 @@
     CROSSED = 'crossed'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Reply:
     """The reply that the caller received, or the reason why there is none.
 
@@ -58,7 +59,7 @@
     named: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Result:
     """A call with its reply; times in seconds from the start of the trace.
 
@@ -87,7 +88,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Execution:
     """One run as recorded by the target; times in boot-clock seconds.
 
@@ -104,7 +105,7 @@
     end: float | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class History:
     """All runs recorded by one target."""
 
@@ -113,7 +114,7 @@
     executions: tuple[Execution, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Rate:
     """Declared rate of an organisation, in requests per second."""
 
@@ -122,7 +123,7 @@
     burst: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Goal:
     """Required share of a service's calls that are answered in time.
 
@@ -135,7 +136,7 @@
     share: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Bounds:
     """Required outcomes; goals in ``report`` are printed, not enforced."""
 
@@ -146,7 +147,7 @@
     report: tuple[Goal, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Latency:
     """Latency of the answered calls of a service, in milliseconds."""
 
@@ -158,7 +159,7 @@
     p999_ms: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Imbalance:
     """Highest number of requests at one target, compared with the mean."""
 
@@ -169,7 +170,7 @@
     ratio: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Outage:
     """Time for which one key was unavailable, in seconds."""
 
@@ -179,7 +180,7 @@
     total_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OrganisationMeasure:
     """Service quality for one organisation.
 
@@ -195,7 +196,7 @@
     share: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OutcomeCount:
     """Number of calls that ended with one outcome and code."""
 
@@ -204,7 +205,7 @@
     calls: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Verdict:
     """Result for one required outcome; ``met`` is None if not measured.
 
@@ -218,7 +219,7 @@
     binding: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Measures:
     """All measures of a replay.
 
@@ -244,7 +245,7 @@
     verdicts: tuple[Verdict, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Progress:
     """Progress of a replay; times in seconds."""
 
--- a/sesamejunction/model/requests.py
+++ b/sesamejunction/model/requests.py
@@ -2,11 +2,11 @@
 
 import collections.abc
 import contextlib
-import dataclasses
 import enum
 import math
 
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 
 class Code(enum.Enum):
@@ -52,7 +52,7 @@
     BEGUN = 1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Head:
     """Head of a request, with its routing parameters.
 
@@ -90,7 +90,7 @@
     requester: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Token:
     """Fencing token, ordered by epoch, then by place in the slot's order."""
 
@@ -98,7 +98,7 @@
     place: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Load:
     """A target's load as measured by the gate or scheduler of its node.
 
@@ -115,7 +115,7 @@
     work_s: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TargetReport:
     """Load of a target as it reports it with an answer.
 
@@ -129,7 +129,7 @@
     slowness: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Refusal:
     """A reply that carries no answer.
 
@@ -151,7 +151,7 @@
     report: TargetReport | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Answer:
     """The head of an answer, and its body as a stream.
 
@@ -168,7 +168,7 @@
     report: TargetReport | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Candidate:
     """A member that may run a request; slot and token are set if keyed."""
 
@@ -177,7 +177,7 @@
     token: Token | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Grant:
     """Conditions under which a node sends one request to its target.
 
--- a/sesamejunction/model/routing.py
+++ b/sesamejunction/model/routing.py
@@ -1,8 +1,9 @@
 """Routes by host and path prefix, from the operator's declarations."""
 
-import dataclasses
 import enum
 
+from sesamejunction.model import valueclass
+
 
 class RouteKind(enum.Enum):
     """Whether requests may be repeated, and how bodies are handled.
@@ -21,7 +22,7 @@
         return self in (RouteKind.REPEATABLE, RouteKind.DOWNLOAD)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WeightedService:
     """A service and its weight in a route with split traffic."""
 
@@ -29,7 +30,7 @@
     weight: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Route:
     """Destination and limits of requests for a host and path prefix.
 
@@ -52,7 +53,7 @@
     is_open: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Limits:
     """Limits on the size of callers' requests and on idle time."""
 
--- a/sesamejunction/model/sharing.py
+++ b/sesamejunction/model/sharing.py
@@ -1,9 +1,9 @@
 """Messages of the shares task, which enforces organisations' rates."""
 
-import dataclasses
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TakeToken:
     """Takes one rate token; the reply is TokenTaken or OverRate.
 
@@ -16,7 +16,7 @@
     deadline: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TokenTaken:
     """One token was taken; ``receipt`` is needed to return it.
 
@@ -26,7 +26,7 @@
     receipt: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class OverRate:
     """The node has no token left; ``retry_after_s`` is a hint.
 
@@ -40,7 +40,7 @@
     is_certain: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReturnToken:
     """Returns the token of a request that neither ran nor was forwarded.
 
@@ -52,6 +52,6 @@
     receipt: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ReturnAllTokens:
     """Starts a planned stop: unspent tokens go back to their allocators."""
--- a/sesamejunction/model/state.py
+++ b/sesamejunction/model/state.py
@@ -6,6 +6,7 @@
 
 from sesamejunction.model import ranges as keyranges
 from sesamejunction.model import routing
+from sesamejunction.model import valueclass
 
 # Internal service whose slots name the allocator of each organisation.
 SHARES_SERVICE = '_shares'
@@ -29,7 +30,7 @@
     LOAD = 'load'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Member:
     """One incarnation of a node, with its local target.
 
@@ -56,7 +57,7 @@
     stopping: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WitnessSet:
     """Witnesses of one member; ``previous`` is set until the set settles."""
 
@@ -65,7 +66,7 @@
     previous: tuple[int, ...] | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SlotOrder:
     """Owner of one slot, followed by its successors.
 
@@ -79,7 +80,7 @@
     previous_epoch: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Rule:
     """Whether matching requests may be repeated.
 
@@ -93,7 +94,7 @@
     repeatable: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Service:
     """Declaration of a service.
 
@@ -111,7 +112,7 @@
     health_path: str = ''
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SlotTable:
     """Slot orders of one service; hot slots come after the fixed ones.
 
@@ -126,7 +127,7 @@
     balanced: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Organisation:
     """An organisation's fleet-wide rate limit and priority.
 
@@ -142,7 +143,7 @@
     rank: int | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class CallerKey:
     """A caller's key, stored only as its SHA-256 digest in hexadecimal.
 
@@ -154,7 +155,7 @@
     services: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class FleetSettings:
     """Fleet-wide settings, changed by tickets."""
 
@@ -162,7 +163,7 @@
     offline_limit_s: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AllocatorPlace:
     """One allocator position and the member that holds it.
 
@@ -176,7 +177,7 @@
     previous: tuple[int, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Allocators:
     """Members that grant rate tokens, as recorded in the fleet's topic.
 
@@ -187,7 +188,7 @@
     places: tuple[AllocatorPlace, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ActivePlanner:
     """The planner of a fleet in which some members are silent.
 
@@ -212,7 +213,7 @@
     RESTORED = 'restored'
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class State:
     """State folded from all log records before ``offset``.
 
--- a/sesamejunction/model/ticketing.py
+++ b/sesamejunction/model/ticketing.py
@@ -4,9 +4,10 @@
 
 from sesamejunction.model import records
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class KeyName:
     """The name of a caller key in the declarations."""
 
@@ -14,7 +15,7 @@
     digest: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Declarations:
     """The contents of a declarations directory."""
 
@@ -29,7 +30,7 @@
     key_names: tuple[KeyName, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Change:
     """An object that a ticket would change; ``what`` describes the change."""
 
@@ -38,7 +39,7 @@
     what: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LogEntry:
     """A log record; ``record`` is None if it could not be decoded."""
 
@@ -47,7 +48,7 @@
     record: records.Record | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LogEntries:
     """Records read, with the oldest offset kept and the next one to write."""
 
@@ -56,7 +57,7 @@
     entries: tuple[LogEntry, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AppliedTicket:
     """A ticket in force.
 
@@ -69,7 +70,7 @@
     already_applied: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class UnconfirmedMember:
     """A live member that has not applied a ticket yet."""
 
@@ -78,7 +79,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Confirmations:
     """How many members applied a ticket within ``taken_s`` seconds."""
 
--- a/sesamejunction/platform/config.py
+++ b/sesamejunction/platform/config.py
@@ -10,6 +10,7 @@
 from sesamejunction.model import registry
 from sesamejunction.model import routing
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 CONFIG_KEY = 'config'
 EVACUATE_PREFIX = 'evacuate/'
@@ -115,7 +116,7 @@
     limits: LimitsModel = LimitsModel()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Problem:
     """A part of the configuration that cannot be read.
 
--- a/sesamejunction/platform/frontend.py
+++ b/sesamejunction/platform/frontend.py
@@ -19,6 +19,7 @@
 from sesamejunction.model import requests
 from sesamejunction.model import routing
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.platform import bounds
 from sesamejunction.platform import config
 from sesamejunction.platform import headernames
@@ -38,7 +39,7 @@
 UNKNOWN_STATUS = 504
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class FrontendContext:
     """What the front end needs of other parts of the node.
 
--- a/sesamejunction/platform/machines.py
+++ b/sesamejunction/platform/machines.py
@@ -1,10 +1,10 @@
 """Decodes the size of the machine that the platform states."""
 
-import dataclasses
-
 import eliot
 import pydantic
 
+from sesamejunction.model import valueclass
+
 
 class MachineModel(pydantic.BaseModel):
     """What the platform states of a machine; missing values are unknown."""
@@ -19,7 +19,7 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MachineSize:
     """Memory in MB, and descriptors that the process may open."""
 
--- a/sesamejunction/queries/status.py
+++ b/sesamejunction/queries/status.py
@@ -1,12 +1,12 @@
 """Reports the status of a node and of the fleet."""
 
 import asyncio
-import dataclasses
 import typing
 
 from sesamejunction import errors
 from sesamejunction.model import operating
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 
 
 class Nodes(typing.Protocol):
@@ -16,7 +16,7 @@
         """Return a node's status; raises PeerUnavailable."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MemberStatus:
     """A member and its status, or the reason why it is missing."""
 
--- a/sesamejunction/tasks/actor.py
+++ b/sesamejunction/tasks/actor.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import math
 import time
 import typing
@@ -10,13 +9,14 @@
 from sesamejunction.decisions import timers
 from sesamejunction import errors
 from sesamejunction.model import operating
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import activity
 
 # Messages that an inbox holds; further ones are dropped or refused.
 INBOX_LIMIT = 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Envelope:
     """A message and, if the sender awaits a reply, the reply's future."""
 
--- a/sesamejunction/tasks/appender.py
+++ b/sesamejunction/tasks/appender.py
@@ -14,6 +14,7 @@
 from sesamejunction import errors
 from sesamejunction.model import journaling
 from sesamejunction.model import records
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -46,14 +47,14 @@
     may_be_written: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WriteBatch:
     """Asks the writer to append encoded frames."""
 
     data: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WriteResult:
     """Reports the result of a write to the appender.
 
@@ -65,7 +66,7 @@
     error: errors.LogUnavailable | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class AppenderDump:
     """Queue size and counters since the start of the process."""
 
--- a/sesamejunction/tasks/datagrams.py
+++ b/sesamejunction/tasks/datagrams.py
@@ -1,7 +1,6 @@
 """Actor that owns the UDP socket for messages between nodes."""
 
 import asyncio
-import dataclasses
 
 import eliot
 
@@ -11,11 +10,12 @@
 from sesamejunction.model import journaling
 from sesamejunction.model import packets
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class DatagramDump:
     """Traffic counters; bytes exclude IP and UDP headers."""
 
--- a/sesamejunction/tasks/fetcher.py
+++ b/sesamejunction/tasks/fetcher.py
@@ -1,7 +1,6 @@
 """Actor that fetches log records or a snapshot from a peer."""
 
 import asyncio
-import dataclasses
 import typing
 
 import eliot
@@ -9,6 +8,7 @@
 from sesamejunction import errors
 from sesamejunction.model import journaling
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 
 # Records requested in one call.
@@ -35,7 +35,7 @@
         """Return the member's encoded state."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Fetch:
     """Asks for the member's records from an offset on."""
 
@@ -43,7 +43,7 @@
     offset: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Fetched:
     """Reports the result of a Fetch; None if it failed."""
 
--- a/sesamejunction/tasks/follower.py
+++ b/sesamejunction/tasks/follower.py
@@ -1,7 +1,6 @@
 """Actor that follows a keyed topic and tracks how current its copy is."""
 
 import asyncio
-import dataclasses
 import random
 
 import eliot
@@ -14,6 +13,7 @@
 from sesamejunction.decisions import topicnews
 from sesamejunction import errors
 from sesamejunction.model import registry
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -74,7 +74,7 @@
         self.end = end
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Asker:
     """A peer that waits for news.
 
--- a/sesamejunction/tasks/gate.py
+++ b/sesamejunction/tasks/gate.py
@@ -1,7 +1,6 @@
 """Actor that admits requests to the target beside this node."""
 
 import asyncio
-import dataclasses
 
 from sesamejunction.decisions import admission
 from sesamejunction.decisions import fairness
@@ -11,11 +10,12 @@
 from sesamejunction.model import requests
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WaitingRequest:
     """A queued request; ``deadline`` is in boot-clock seconds.
 
--- a/sesamejunction/tasks/hotkeys.py
+++ b/sesamejunction/tasks/hotkeys.py
@@ -1,7 +1,6 @@
 """Actor that detects hot keys and proposes a separate slot for each."""
 
 import collections
-import dataclasses
 
 import eliot
 
@@ -10,6 +9,7 @@
 from sesamejunction.model import hotkeys
 from sesamejunction.model import journaling
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -55,7 +55,7 @@
         self._counts.clear()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class HotKeysDump:
     """Decayed load and most frequent keys by service.
 
--- a/sesamejunction/tasks/journal.py
+++ b/sesamejunction/tasks/journal.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import time
 
 import eliot
@@ -16,6 +15,7 @@
 from sesamejunction.model import operating
 from sesamejunction.model import records
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.queries import dumps
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
@@ -39,7 +39,7 @@
 MAX_FOLD_SLICE_S = 0.005
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PageRead:
     """Passes on a page of the log; the reply is the next offset to read."""
 
--- a/sesamejunction/tasks/leases.py
+++ b/sesamejunction/tasks/leases.py
@@ -19,6 +19,7 @@
 from sesamejunction.model import records
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -37,14 +38,14 @@
 MESSAGE_TYPES = (messages.LeasePromise, messages.WitnessRelease)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LogContact:
     """Boot-clock time of this node's latest contact with the log."""
 
     at: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ports:
     """Actors that the lease and witness actors send messages to."""
 
@@ -68,7 +69,7 @@
         await asyncio.sleep(CONTACT_POLL_S)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LeaseDump:
     """State of the lease; ``left_s`` is 0 without one."""
 
--- a/sesamejunction/tasks/link.py
+++ b/sesamejunction/tasks/link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import dataclasses
 import itertools
 
 import eliot
@@ -10,6 +9,7 @@
 from sesamejunction.border import framing
 from sesamejunction import errors
 from sesamejunction.model import linking
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import outgoingbody
 
 # If a reply is due and nothing was received for this time, a ping is sent. If
@@ -23,7 +23,7 @@
 TIMER_ERROR_S = 0.002
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Pending:
     """The reply that an exchange waits for.
 
--- a/sesamejunction/tasks/links.py
+++ b/sesamejunction/tasks/links.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import dataclasses
 
 from sesamejunction.border import framing
 from sesamejunction.border import linkcodec
@@ -16,6 +15,7 @@
 from sesamejunction.model import linking
 from sesamejunction.model import registry
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import clock
 from sesamejunction.tasks import connector
 from sesamejunction.tasks import incominganswer
@@ -46,7 +46,7 @@
 LARGE_BODY_BYTES = 16 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Exchange:
     """A request sent on a connection; ``number`` is its id there."""
 
--- a/sesamejunction/tasks/linkserver.py
+++ b/sesamejunction/tasks/linkserver.py
@@ -16,6 +16,7 @@
 from sesamejunction.model import linking
 from sesamejunction.model import outgoinganswers
 from sesamejunction.model import requests
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import clock
 
 # Time for other nodes to close their connections, which takes about one round
@@ -28,7 +29,7 @@
 RETRY_AFTER_S = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class ServerPorts:
     """Dependencies of the server side, and its open connections.
 
--- a/sesamejunction/tasks/membership.py
+++ b/sesamejunction/tasks/membership.py
@@ -13,6 +13,7 @@
 from sesamejunction.model import records
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -23,7 +24,7 @@
 MIN_TICK_S = 0.005
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Identity:
     """Settings of this node that are part of its member record."""
 
@@ -36,7 +37,7 @@
     operator_port: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class MembershipDump:
     """Whether the node has joined, and its target's latest announcement."""
 
--- a/sesamejunction/tasks/owners.py
+++ b/sesamejunction/tasks/owners.py
@@ -16,6 +16,7 @@
 from sesamejunction.model import requests
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 from sesamejunction.tasks import handovers
@@ -34,7 +35,7 @@
 NO_TOKEN = requests.Token(0, 0)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Ports:
     """Actors and peer calls that Owners uses."""
 
--- a/sesamejunction/tasks/peercalls.py
+++ b/sesamejunction/tasks/peercalls.py
@@ -1,12 +1,12 @@
 """Background calls to peers, whose results are sent to an actor."""
 
 import asyncio
-import dataclasses
 import math
 import typing
 
 from sesamejunction import errors
 from sesamejunction.model import owning
+from sesamejunction.model import valueclass
 
 # Minimum interval between calls to the same member.
 MIN_CALL_INTERVAL_S = 0.05
@@ -22,7 +22,7 @@
         """Deliver releases; returns when the member has recorded them."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Delivered:
     """Reports that the member has recorded these releases."""
 
--- a/sesamejunction/tasks/planner.py
+++ b/sesamejunction/tasks/planner.py
@@ -1,7 +1,6 @@
 """Actor that proposes assignment records and writes checkpoints."""
 
 import asyncio
-import dataclasses
 import secrets
 import time
 
@@ -14,6 +13,7 @@
 from sesamejunction.model import journaling
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -44,7 +44,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PlannerDump:
     """Planning counters; ``rank`` is None if this node does not plan."""
 
--- a/sesamejunction/tasks/rangeplanner.py
+++ b/sesamejunction/tasks/rangeplanner.py
@@ -14,6 +14,7 @@
 from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -55,7 +56,7 @@
 KEY_BYTES = 256
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class LoadsReceived:
     """The loads of a service's targets, by life (process run)."""
 
--- a/sesamejunction/tasks/shares.py
+++ b/sesamejunction/tasks/shares.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 
 from sesamejunction.decisions import shares
 from sesamejunction.decisions import tokenholder
@@ -13,6 +12,7 @@
 from sesamejunction.model import packets
 from sesamejunction.model import sharing
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -25,7 +25,7 @@
 IDLE_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class PurseDump:
     """Tokens of an organisation and its demand in requests per second.
 
@@ -39,7 +39,7 @@
     waiting: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class SharesDump:
     """Request counters since the start, and the active organisations."""
 
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -16,6 +16,7 @@
 from sesamejunction.model import ranges
 from sesamejunction.model import registry
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -35,7 +36,7 @@
 RETURN_COLD_S = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class NoTarget:
     """Replaces the former registration if this node was never registered."""
 
@@ -47,7 +48,7 @@
 NO_TARGET = NoTarget()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Identity:
     """Fields of this node's registration that never change."""
 
--- a/sesamejunction/tasks/terms.py
+++ b/sesamejunction/tasks/terms.py
@@ -1,7 +1,6 @@
 """Actor that confirms which shares this node may allocate, and how long."""
 
 import asyncio
-import dataclasses
 import time
 
 import eliot
@@ -14,6 +13,7 @@
 from sesamejunction.model import owning
 from sesamejunction.model import requests
 from sesamejunction.model import state
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 
@@ -193,7 +193,7 @@
     ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class TermReleased:
     """Reports that a former allocator has stopped."""
 
--- a/sesamejunction/tasks/usage.py
+++ b/sesamejunction/tasks/usage.py
@@ -8,6 +8,7 @@
 import time
 
 from sesamejunction.border import logs
+from sesamejunction.model import valueclass
 
 # Interval of measurements; the lag is the delay of the wake-up.
 INTERVAL_S = 0.1
@@ -29,7 +30,7 @@
     received: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class Sample:
     """The loop lag of one interval, and totals at its end.
 
--- a/sesamejunction/tasks/witnesses.py
+++ b/sesamejunction/tasks/witnesses.py
@@ -1,6 +1,5 @@
 """Actor that witnesses other nodes' leases and records their ends."""
 
-import dataclasses
 import math
 
 import eliot
@@ -13,6 +12,7 @@
 from sesamejunction.model import records
 from sesamejunction.model import state
 from sesamejunction.model import timing
+from sesamejunction.model import valueclass
 from sesamejunction.tasks import actor
 from sesamejunction.tasks import clock
 from sesamejunction.tasks import leases
@@ -39,7 +39,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class RepeatedDeclaration:
     """A declaration that an incarnation ended, which is sent repeatedly."""
 
@@ -48,7 +48,7 @@
     pause_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@valueclass.define
 class WitnessDump:
     """Number of watched holders, declared ends and unrecorded ends."""
 
