An ignored heartbeat tells that its target is cold

Symptom, in a review: a cold target got 150 requests at once. Cause: a heartbeat that is ignored, of a life that looks older or with a lower sequence number, told nothing, though the target that sent it may be the one that runs. Its cold time now counts until the next accepted heartbeat, if it is longer than what is known.

Evidence: test_ignored_heartbeat_tells_of_a_cold_target failed before (cold time over for 1 s instead of 3 s left) and passes; an accepted heartbeat ends it.

--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -163,6 +163,12 @@
             self._register()
         self.tick_s = self._find_pause(now)
 
+    def _extend_cold_time(self, until, source, now) -> None:
+        """Take the target for cold until then, at least."""
+        if until > self._cold_until:
+            self._set_cold_until(until, source, now)
+            self._publish()
+
     def _find_pause(self, now) -> float:
         """Return the seconds until the next tick."""
         answers = self._waiting is not None
@@ -194,6 +200,11 @@
                 sequence=heartbeat.sequence,
                 present=lease.life,
             )
+            # It may be the target that runs: one that started again under its
+            # former name, or with a clock that was set back.
+            self._extend_cold_time(
+                now + heartbeat.cold_left_s, leasing.ColdSource.IGNORED, now
+            )
             return leasing.Renewal()
         if heartbeat.life != lease.life:
             eliot.log_message(
--- /dev/null
+++ b/test/test_unheardcold.py
@@ -0,0 +1,82 @@
+"""Targets that became cold while their node could not hear it."""
+
+import pytest
+
+from sesamejunction.model import leasing
+from sesamejunction.model import ranges
+from sesamejunction.model import state
+from sesamejunction.tasks import clock
+from sesamejunction.tasks import targetlease
+from test import test_misdirected
+
+BORN = 5_000
+LIFE = ranges.Life('b', 't', BORN)
+
+
+def make_heartbeat(sequence, cold_left_s=0.0, born=BORN):
+    return leasing.Heartbeat(
+        ranges.Life('b', 't', born),
+        *('s', 'z', 8, sequence, False, cold_left_s),
+    )
+
+
+class Node:
+    """The lease task of a node, at times that the test sets."""
+
+    def __init__(self, monkeypatch):
+        self.now = 1000.0
+        monkeypatch.setattr(clock, 'read_boot_clock', lambda: self.now)
+        self._lease = test_misdirected.make_lease()
+
+    async def run(self, span_s):
+        """Let the process run, with its ticks."""
+        for _ in range(round(span_s / targetlease.IDLE_S)):
+            self.now += targetlease.IDLE_S
+            await self._lease.tick()
+
+    async def hear(self, heartbeat):
+        """Handle a heartbeat, which is answered later."""
+        await self._lease.handle(heartbeat)
+
+    def take_zone(self, standing):
+        self._lease._apply_state(
+            state.State(
+                zones={'z': standing}, declared_version=1, declared_end=1
+            ),
+            self.now,
+        )
+
+    @property
+    def cold_left_s(self):
+        return self._lease.target_status.cold_until - self.now
+
+
+@pytest.fixture
+async def node(monkeypatch):
+    made = Node(monkeypatch)
+    made.take_zone(state.Standing.IN)
+    await made.run(0.5)
+    await made.hear(make_heartbeat(5))
+    await made.run(1.0)
+    return made
+
+
+# Guards against a flood of a target whose heartbeats are ignored, and whose
+# node therefore does not hear that it is cold. Columns: sequence number, start
+# of the life that is named.
+@pytest.mark.parametrize(
+    ('sequence', 'born'), [(1, BORN), (9, BORN - 1)], ids=('again', 'older')
+)
+async def test_ignored_heartbeat_tells_of_a_cold_target(node, sequence, born):
+    await node.hear(make_heartbeat(sequence, 3.0, born))
+    assert node.cold_left_s == pytest.approx(3.0)
+    await node.hear(make_heartbeat(sequence, 0.0, born))
+    assert node.cold_left_s == pytest.approx(3.0)
+
+
+async def test_accepted_heartbeat_ends_what_an_ignored_one_told(node):
+    # Guards against an odd heartbeat that limits a warm target for long.
+    await node.hear(make_heartbeat(1, 1000.0))
+    await node.run(0.5)
+    await node.hear(make_heartbeat(7))
+    assert node.cold_left_s <= 0.0
