A node that was stopped expects a cold target until it hears of it

Symptom, in a review: a node that is stopped from before its zone is taken out until after it is back sent 208 and 214 requests in a second to a target that had become cold meanwhile. Cause: nobody read the target's heartbeats, and the zone that went and came back left no trace in the state.

A lease task that has not run for 1.2 s (it ticks every 0.5 s) takes its target for cold until the next heartbeat, at most 2 s. One that is read within 0.2 s may be older and does not end it. A warm target gets its cold rate for this time, about a second at heartbeats each second.

No run with real processes was made.

--- a/sesamejunction/model/leasing.py
+++ b/sesamejunction/model/leasing.py
@@ -141,6 +141,7 @@
     HEARTBEAT = 'heartbeat'
     ZONE_RETURN = 'return of its availability zone'
     UNREACHABLE = 'failed connection'
+    STOPPED = 'stop of this process'
     IGNORED = 'ignored heartbeat'
 
 
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -34,6 +34,11 @@
 # After its zone returns, a target counts as cold for two heartbeats, since the
 # first may have been sent before it became cold.
 RETURN_COLD_S = 2.0
+# A task that did not run for this long was stopped with its process; it ticks
+# every IDLE_S. Nobody has read the target's heartbeats meanwhile.
+STOPPED_S = IDLE_S + 0.7
+# A heartbeat that is read this soon after such a time may be older.
+OLD_HEARTBEATS_S = 0.2
 
 
 @valueclass.define
@@ -105,6 +110,10 @@
         self._is_silent = False
         self._last_answer = leasing.Renewal()
         self._return_cold_until = float('-inf')
+        # Until when heartbeats do not end the cold time: they may have been
+        # sent before the process was stopped.
+        self._doubted_until = float('-inf')
+        self._ran_at = None
         self._registered = None
         self._had_heartbeat = False
         # Registration of the process that ran before this one.
@@ -116,6 +125,7 @@
     async def handle(self, message):
         """Handle one message."""
         now = clock.read_boot_clock()
+        self._note_stop(now)
         self.tick_within(TICK_S)
         match message:
             case leasing.Heartbeat():
@@ -145,6 +155,7 @@
     async def tick(self) -> None:
         """Answer waiting heartbeats and claims; request releases."""
         now = clock.read_boot_clock()
+        self._note_stop(now)
         if self._waiting is not None and now >= self._answer_at:
             self._answer(now)
         else:
@@ -163,6 +174,20 @@
             self._register()
         self.tick_s = self._find_pause(now)
 
+    def _note_stop(self, now) -> None:
+        """Expect a cold target after a time in which this process was stopped.
+
+        Its zone may have been taken out of service and back, or it may have
+        started again, and nobody has read its heartbeats.
+        """
+        ran_at, self._ran_at = self._ran_at, now
+        if ran_at is None or now - ran_at < STOPPED_S:
+            return
+        self._doubted_until = now + OLD_HEARTBEATS_S
+        self._extend_cold_time(
+            now + RETURN_COLD_S, leasing.ColdSource.STOPPED, now
+        )
+
     def _extend_cold_time(self, until, source, now) -> None:
         """Take the target for cold until then, at least."""
         if until > self._cold_until:
@@ -219,9 +244,9 @@
         self._heartbeat = heartbeat
         self._had_heartbeat = True
         self._is_silent = False
-        self._set_cold_until(
-            now + heartbeat.cold_left_s, leasing.ColdSource.HEARTBEAT, now
-        )
+        cold_until = now + heartbeat.cold_left_s
+        if now >= self._doubted_until or cold_until > self._cold_until:
+            self._set_cold_until(cold_until, leasing.ColdSource.HEARTBEAT, now)
         if self._cold_until < self._return_cold_until:
             self._set_cold_until(
                 self._return_cold_until, leasing.ColdSource.ZONE_RETURN, now
