The target of a zone that returns counts as cold whatever is known of its service

A target was not limited after the return of its zone while its service was not declared yet, or had a rate but no time of a cold start; only the next heartbeat told. It counts as cold for 2 s at least now. Two rows of test_target_of_a_zone_that_returns_is_cold failed before and pass.

--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -468,12 +468,12 @@
             # The target may have become cold while its zone was out of
             # service.
             declared_service = current.services.get(service)
+            cold_s = declared_service.cold_s if declared_service else 0.0
             self._return_cold_until = now + RETURN_COLD_S
-            if declared_service is not None and declared_service.cold_rate:
-                self._set_cold_until(
-                    max(self._cold_until, now + declared_service.cold_s),
-                    *(leasing.ColdSource.ZONE_RETURN, now),
-                )
+            self._extend_cold_time(
+                now + max(RETURN_COLD_S, cold_s),
+                *(leasing.ColdSource.ZONE_RETURN, now),
+            )
         self._publish()
         if self._heartbeat is not None:
             self._answer_if_changed(now)
--- a/test/test_unheardcold.py
+++ b/test/test_unheardcold.py
@@ -1,5 +1,7 @@
 """Targets that became cold while their node could not hear it."""
 
+import dataclasses
+
 import pytest
 
 from sesamejunction.model import leasing
@@ -43,10 +45,14 @@
         """Handle a heartbeat, which is answered later."""
         await self._lease.handle(heartbeat)
 
-    def take_zone(self, standing):
+    def take_zone(self, standing, service=None):
+        """Learn whether the zone is in service, and the target's service."""
         self._lease._apply_state(
             state.State(
-                zones={'z': standing}, declared_version=1, declared_end=1
+                zones={'z': standing},
+                declared_version=1,
+                declared_end=1,
+                services={'s': service} if service else {},
             ),
             self.now,
         )
@@ -111,3 +117,26 @@
     await node.run(0.5)
     await node.hear(make_heartbeat(7))
     assert node.cold_left_s <= 0.0
+
+
+RATED = state.Service('s', state.Routing.LOAD, 0, cold_rate=4.0)
+
+
+# Guards against a flood of a target whose zone returns while little is known
+# of its service. Columns: the service, seconds for which the target counts as
+# cold.
+@pytest.mark.parametrize(
+    ('service', 'cold_s'),
+    [
+        pytest.param(None, 2.0, id='not declared'),
+        pytest.param(RATED, 2.0, id='no time of a cold start'),
+        pytest.param(
+            dataclasses.replace(RATED, cold_s=7.0), 7.0, id='declared'
+        ),
+    ],
+)
+async def test_target_of_a_zone_that_returns_is_cold(node, service, cold_s):
+    node.take_zone(state.Standing.OUT, service)
+    await node.run(1.0)
+    node.take_zone(state.Standing.IN, service)
+    assert node.cold_left_s == pytest.approx(cold_s)
