Ticks of shares skip organisations that want nothing

A tick served each organisation that ever had a waiting request, and looked at all of them a second time though none wanted tokens.

Measured, 82 active organisations without waiting requests, in turns: 402 and 311 us a tick before, 252 and 246 us after. What is requested does not change.

--- a/sesamejunction/decisions/tokenholder.py
+++ b/sesamejunction/decisions/tokenholder.py
@@ -198,16 +198,21 @@
         # allocator. So it also contains the wants of other organisations;
         # otherwise one that asks all the time would keep them from asking
         # before they run out of tokens.
-        for name in self._active:
-            account = self.accounts[name]
-            if wants.get(account.allocator) and not account.scarce:
-                self._add_want(wants[account.allocator], name, now)
+        if any(wants.values()):
+            self._add_other_wants(wants, now)
         return [
             (allocator, self._build_request(allocator, requested, now))
             for allocator, requested in wants.items()
             if requested
         ]
 
+    def _add_other_wants(self, wants, now) -> None:
+        """Add what other organisations want from the same allocators."""
+        for name in self._active:
+            account = self.accounts[name]
+            if wants.get(account.allocator) and not account.scarce:
+                self._add_want(wants[account.allocator], name, now)
+
     def return_unspent(self, now) -> list[tuple[int, messages.ShareRequest]]:
         """Return the requests that return all unspent tokens."""
         addressed_requests = []
--- a/sesamejunction/tasks/shares.py
+++ b/sesamejunction/tasks/shares.py
@@ -133,8 +133,9 @@
     async def tick(self) -> None:
         """Serve waiting requests from local tokens and request more."""
         now = clock.read_boot_clock()
-        for name in list(self._waiting):
-            self._serve_waiting(name, now)
+        for name, queue in list(self._waiting.items()):
+            if queue:
+                self._serve_waiting(name, now)
         if not self._leaving:
             self._send_requests(self._holder.build_requests(now))
         has_demand = self._holder.is_active or any(self._waiting.values())
