A heartbeat without the list of held keys is not one that holds nothing

What callers could see: two targets that held the same keys for 1.4 to 1.6 s. Cause: the border gave a missing list the default of an empty one, so that a heartbeat of another writer released the keys of a live target. For services divided by key such a heartbeat is ignored now.

--- a/sesamejunction/model/leasing.py
+++ b/sesamejunction/model/leasing.py
@@ -23,6 +23,7 @@
     with each heartbeat of a run. ``draining`` is set if the target is
     leaving. ``cold_left_s`` is the remaining time of the cold start.
     ``freed`` lists ranges released since the last acknowledged heartbeat.
+    ``tells_held`` is unset if it does not tell what the target holds.
     """
 
     life: ranges.Life
@@ -34,6 +35,7 @@
     cold_left_s: float
     held: tuple[HeldKeys, ...] = ()
     freed: tuple[ranges.ReleasedKeys, ...] = ()
+    tells_held: bool = True
 
 
 @valueclass.define
--- a/sesamejunction/platform/heartbeathttp.py
+++ b/sesamejunction/platform/heartbeathttp.py
@@ -70,14 +70,15 @@
     ``born`` is the start of the target's process in wall-clock milliseconds.
     ``holds`` lists first key, last key and epoch of each range held;
     ``freed`` lists first key, last key and handover data of each range
-    released.
+    released. Targets of services that are not divided by key send neither; a
+    missing list is not an empty one.
     """
 
     info: Info
     status: Status
     born: Number = 0
-    holds: tuple[tuple[Key, Key, Number], ...] = ()
-    freed: tuple[tuple[Key, Key, str], ...] = ()
+    holds: tuple[tuple[Key, Key, Number], ...] | None = None
+    freed: tuple[tuple[Key, Key, str], ...] | None = None
 
 
 class HeartbeatHandler:
@@ -151,8 +152,9 @@
         parsed.status.sequence,
         parsed.status.state != 'ready',
         max(0.0, parsed.status.cold_left_s),
-        tuple(leasing.HeldKeys(*row) for row in parsed.holds),
-        tuple(ranges.ReleasedKeys(*row) for row in parsed.freed),
+        tuple(leasing.HeldKeys(*row) for row in parsed.holds or ()),
+        tuple(ranges.ReleasedKeys(*row) for row in parsed.freed or ()),
+        parsed.holds is not None,
     )
 
 
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -218,6 +218,15 @@
         lease = self._lease
         if heartbeat.service != self._identity.service:
             return leasing.Renewal()
+        if self._is_ranged and not heartbeat.tells_held:
+            eliot.log_message(
+                'owner: heartbeat ignored',
+                reason='it does not tell which keys its target holds',
+                life=heartbeat.life,
+                sequence=heartbeat.sequence,
+                present=lease.life,
+            )
+            return leasing.Renewal()
         if not lease.accepts_heartbeat(heartbeat, now):
             eliot.log_message(
                 'owner: heartbeat ignored',
@@ -283,9 +292,17 @@
         service = self._state.services.get(self._identity.service)
         return service is not None and service.routing is state.Routing.RANGE
 
+    @property
+    def _may_grant(self) -> bool:
+        """Return whether the target's keys may be granted.
+
+        Not after a heartbeat that did not tell what the target holds.
+        """
+        return self._heartbeat is None or self._heartbeat.tells_held
+
     def _answer_if_changed(self, now) -> bool:
         """Answer the waiting heartbeat if the granted keys have changed."""
-        if self._waiting is None:
+        if self._waiting is None or not self._may_grant:
             return False
         before = self._lease.granted_rows
         as_of = self._find_as_of()
@@ -305,8 +322,12 @@
         return False
 
     def _answer(self, now) -> None:
-        if self._waiting is not None:
-            self._send(self._lease.renew(self._find_as_of(), now), now)
+        if self._waiting is None:
+            return
+        renewal = leasing.Renewal()
+        if self._may_grant:
+            renewal = self._lease.renew(self._find_as_of(), now)
+        self._send(renewal, now)
 
     def _find_as_of(self) -> float:
         # The time of the copy that was folded, not of a newer one, whose plan
