Loading does not search all packages for plugins of pydantic

Each start of a node reads the metadata of all installed packages for plugins of pydantic, of which it has none: 13 and 5 ms of processor time in one measurement each, with and without the interpreter's own packages. The variable that turns the search off is set while libraries load, as those of the certificates are. test_loading counts the files and failed before.

--- a/test/test_loading.py
+++ b/test/test_loading.py
@@ -8,7 +8,13 @@
 import pytest
 
 LOADING_CODE = """
-import gc, json, os
+import gc, json, os, sys
+read = []
+sys.addaudithook(
+    lambda event, arguments: read.append(arguments[0])
+    if event == 'open' and str(arguments[0]).endswith('entry_points.txt')
+    else None
+)
 before = sum(one['collections'] for one in gc.get_stats())
 from sesamejunction.ui import loading
 inside = os.environ.get('SSL_CERT_FILE')
@@ -20,6 +26,8 @@
     'frozen': gc.get_freeze_count() > 0,
     'inside': inside,
     'variable': os.environ.get('SSL_CERT_FILE'),
+    'plugins': os.environ.get('PYDANTIC_DISABLE_PLUGINS'),
+    'read': read,
 }))
 """
 
@@ -30,6 +38,7 @@
     # certificates, and against a node that runs without garbage collection.
     environment = dict(os.environ)
     environment.pop('SSL_CERT_FILE', None)
+    environment.pop('PYDANTIC_DISABLE_PLUGINS', None)
     if variable is not None:
         environment['SSL_CERT_FILE'] = variable
     found = json.loads(
@@ -44,4 +53,7 @@
         'frozen': True,
         'inside': os.devnull,
         'variable': variable,
+        'plugins': None,
+        # Metadata of other packages.
+        'read': [],
     }
