--- a/sesamejunction/model/leasing.py
+++ b/sesamejunction/model/leasing.py
@@ -143,7 +143,7 @@
     HEARTBEAT = 'heartbeat'
     ZONE_RETURN = 'return of its availability zone'
     UNREACHABLE = 'failed connection'
-    STOPPED = 'stop of this process'
+    PAUSED = 'pause of this process'
     IGNORED = 'ignored heartbeat'
 
 
--- a/sesamejunction/tasks/targetlease.py
+++ b/sesamejunction/tasks/targetlease.py
@@ -34,9 +34,9 @@
 # After its zone returns, a target counts as cold for two heartbeats, since the
 # first may have been sent before it became cold.
 RETURN_COLD_S = 2.0
-# A task that did not run for this long was stopped with its process; it ticks
+# A task that did not run for this long was paused with its process; it ticks
 # every IDLE_S. Nobody has read the target's heartbeats meanwhile.
-STOPPED_S = IDLE_S + 0.7
+PAUSED_S = IDLE_S + 0.7
 # A heartbeat that is read this soon after such a time may be older.
 OLD_HEARTBEATS_S = 0.2
 
@@ -111,7 +111,7 @@
         self._last_answer = leasing.Renewal()
         self._return_cold_until = float('-inf')
         # Until when heartbeats do not end the cold time: they may have been
-        # sent before the process was stopped.
+        # sent before a pause of the process.
         self._doubted_until = float('-inf')
         self._ran_at = None
         self._registered = None
@@ -125,7 +125,7 @@
     async def handle(self, message):
         """Handle one message."""
         now = clock.read_boot_clock()
-        self._note_stop(now)
+        self._note_process_pause(now)
         self.tick_within(TICK_S)
         match message:
             case leasing.Heartbeat():
@@ -155,7 +155,7 @@
     async def tick(self) -> None:
         """Answer waiting heartbeats and claims; request releases."""
         now = clock.read_boot_clock()
-        self._note_stop(now)
+        self._note_process_pause(now)
         if self._waiting is not None and now >= self._answer_at:
             self._answer(now)
         else:
@@ -174,18 +174,18 @@
             self._register()
         self.tick_s = self._find_pause(now)
 
-    def _note_stop(self, now) -> None:
-        """Expect a cold target after a time in which this process was stopped.
+    def _note_process_pause(self, now) -> None:
+        """Expect a cold target after a pause of this process.
 
         Its zone may have been taken out of service and back, or it may have
         started again, and nobody has read its heartbeats.
         """
         ran_at, self._ran_at = self._ran_at, now
-        if ran_at is None or now - ran_at < STOPPED_S:
+        if ran_at is None or now - ran_at < PAUSED_S:
             return
         self._doubted_until = now + OLD_HEARTBEATS_S
         self._extend_cold_time(
-            now + RETURN_COLD_S, leasing.ColdSource.STOPPED, now
+            now + RETURN_COLD_S, leasing.ColdSource.PAUSED, now
         )
 
     def _extend_cold_time(self, until, source, now) -> None:
--- a/test/test_unheardcold.py
+++ b/test/test_unheardcold.py
@@ -36,8 +36,8 @@
             self.now += targetlease.IDLE_S
             await self._lease.tick()
 
-    async def stop(self, span_s):
-        """Stop the process for a time."""
+    async def pause(self, span_s):
+        """Pause the process for a time."""
         self.now += span_s
         await self._lease.tick()
 
@@ -73,18 +73,18 @@
 
 
 # Guards against a flood of a target that became cold while its node was
-# stopped, as when its zone was taken out of service and back meanwhile.
+# paused, as when its zone was taken out of service and back meanwhile.
 @pytest.mark.parametrize(
-    ('stopped_s', 'is_cold'), [(0.6, False), (1.5, True), (8.0, True)]
+    ('paused_s', 'is_cold'), [(0.6, False), (1.5, True), (8.0, True)]
 )
-async def test_target_counts_as_cold_after_a_stop(node, stopped_s, is_cold):
-    await node.stop(stopped_s)
+async def test_target_counts_as_cold_after_a_pause(node, paused_s, is_cold):
+    await node.pause(paused_s)
     assert (node.cold_left_s > 0) is is_cold
 
 
-# Guards against a heartbeat that waited through the stop and ends the cold
-# time. Columns: seconds from the stop to the heartbeat, its cold time, whether
-# the target counts as cold after it.
+# Guards against a heartbeat that waited through the pause and ends the cold
+# time. Columns: seconds from the pause to the heartbeat, its cold time,
+# whether the target counts as cold after it.
 @pytest.mark.parametrize(
     ('after_s', 'cold_left_s', 'is_cold'),
     [(0.0, 0.0, True), (0.0, 3.0, True), (0.5, 0.0, False), (0.5, 3.0, True)],
@@ -92,7 +92,7 @@
 async def test_later_heartbeats_end_the_doubt(
     node, after_s, cold_left_s, is_cold
 ):
-    await node.stop(3.0)
+    await node.pause(3.0)
     await node.run(after_s)
     await node.hear(make_heartbeat(6, cold_left_s))
     assert (node.cold_left_s > 0) is is_cold
