--- a/sesamejunction/ui/hosted.py
+++ b/sesamejunction/ui/hosted.py
@@ -7,6 +7,8 @@
     earlysignals.install()
 
 from sesamejunction.ui import loading  # isort: skip
+
+# Records when the start began.
 from sesamejunction.ui import startup  # isort: skip  # noqa: F401
 
 import os
