--- a/sesamejunction/border/settings.py
+++ b/sesamejunction/border/settings.py
@@ -17,13 +17,17 @@
 
 Port = typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
 
+# Each program reads the settings of one model, so the validators of a model
+# are built when it is first used.
+MODEL_CONFIG = pydantic_settings.SettingsConfigDict(
+    env_prefix=ENV_PREFIX, extra='forbid', frozen=True, defer_build=True
+)
+
 
 class NodeSettings(pydantic_settings.BaseSettings):
     """Settings of sesamejunction-node; flags override the environment."""
 
-    model_config = pydantic_settings.SettingsConfigDict(
-        env_prefix=ENV_PREFIX, extra='forbid', frozen=True
-    )
+    model_config = MODEL_CONFIG
 
     name: str = pydantic.Field(
         pattern=NAME_PATTERN, description='name of the target'
@@ -99,9 +103,7 @@
 class CtlSettings(pydantic_settings.BaseSettings):
     """Settings of sesamejunction-ctl; flags override the environment."""
 
-    model_config = pydantic_settings.SettingsConfigDict(
-        env_prefix=ENV_PREFIX, extra='forbid', frozen=True
-    )
+    model_config = MODEL_CONFIG
 
     log_url: pydantic.AnyHttpUrl = pydantic.Field(
         description='base URL of the log service'
@@ -160,9 +162,7 @@
 class ReplaySettings(pydantic_settings.BaseSettings):
     """Settings of sesamejunction-replay; flags override the environment."""
 
-    model_config = pydantic_settings.SettingsConfigDict(
-        env_prefix=ENV_PREFIX, extra='forbid', frozen=True
-    )
+    model_config = MODEL_CONFIG
 
     nodes: str = pydantic.Field(
         pattern=r'^[^\s,/]+:[0-9]{1,5}(,[^\s,/]+:[0-9]{1,5})*$',
